--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -143,6 +143,7 @@
     }
     Error error;
     const bool done = feed(*parser_, in_, error);
+    server_.stats_.mostBuffered = std::max(server_.stats_.mostBuffered, in_.size());
     if (error) {
       last_ = true;
       return reject({statusOf(error), "malformed request"});
@@ -180,6 +181,7 @@
 
   // An answer from here: the request never reaches the holder.
   void reject(const Rejection& why) {
+    server_.stats_.rejected += why.status != http::status::ok;
     if (why.status == http::status::request_timeout) last_ = true;
     state_ = State::held;
     Answer text;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "node/call.hpp"
 #include "node/http.hpp"
@@ -54,6 +55,12 @@
     std::chrono::milliseconds lingerFor{1000};
   };
 
+  // What happened since the last look, for the service log.
+  struct Stats {
+    unsigned rejected = 0;         // requests answered from here: malformed, too large, too slow
+    std::size_t mostBuffered = 0;  // bytes of one connection read and not yet understood
+  };
+
   ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
@@ -62,6 +69,9 @@
   void start();  // throws std::runtime_error if it cannot listen
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  std::size_t connections() const { return connections_.size(); }
+  Stats takeStats() { return std::exchange(stats_, {}); }
+
   // From here on every answer ends its connection.
   void beginDrain() { draining_ = true; }
   // Takes what the machine has accepted already, then no more; connections without a request are closed.
@@ -88,6 +98,7 @@
   std::unordered_set<std::shared_ptr<Connection>> connections_;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
+  Stats stats_;
   bool accepting_ = false;  // an accept is pending
   bool draining_ = false;
 };
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 #include "node/config.hpp"
 #include "node/http.hpp"
@@ -89,6 +90,8 @@
                           }));
   }
 
+  Stats takeStats() { return std::exchange(stats_, {}); }
+
   void stop() {
     stopped_ = true;
     ++round_;
@@ -122,6 +125,7 @@
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
                               if (error) return again("ended");
                               in_.commit(n);
+                              stats_.read += n;
                               wait(kSilence);
                               take();
                             }));
@@ -134,6 +138,7 @@
       return again("odd answer");
     line_ += parser_->get().body();
     parser_->get().body().clear();
+    stats_.longestLine = std::max(stats_.longestLine, line_.size());
     try {
       takeLines();
     } catch (const std::runtime_error& wrong) {
@@ -153,6 +158,7 @@
       if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;  // a heartbeat
       const Roster roster = parseRoster(line);
       generation_ = roster.generation;
+      ++stats_.lists;
       backoff_ = kBackoffFirst;
       told_(roster);
       if (stopped_) return;
@@ -184,6 +190,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   std::chrono::milliseconds backoff_ = kBackoffFirst;
   std::string_view lastWhy_;
+  Stats stats_;
   unsigned round_ = 0;
   bool stopped_ = false;
 };
@@ -192,6 +199,7 @@
     : watch_(std::make_shared<Watch>(io, agent, from, std::move(told))) {}
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
+Discovery::Stats Discovery::takeStats() { return watch_->takeStats(); }
 void Discovery::stop() { watch_->stop(); }
 
 }  // namespace burlwind
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -39,6 +39,13 @@
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
             Told told);
   ~Discovery();
+  // What happened since the last look, for the service log.
+  struct Stats {
+    std::size_t read = 0;         // bytes
+    std::size_t longestLine = 0;  // bytes of one line, whole or not yet
+    unsigned lists = 0;           // lines that told of workers
+  };
+  Stats takeStats();
   void start();
   void stop();
 
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned kSparedSockets = 24;   // descriptors for the listener, discovery, timers, standard streams
 constexpr double kIdleShare = 0.8;        // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;  // connections go on coming for up to 400 ms after SIGTERM
+constexpr auto kReportEvery = 5s;         // between two lines on what was done
 constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -63,7 +64,8 @@
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
-      drain_(io) {
+      drain_(io),
+      report_(io) {
   long long from = -1;
   if (!config_.known.empty()) {
     const Roster known = parseRoster(config_.known);
@@ -80,6 +82,35 @@
 void Gatekeeper::start() {
   server_.start();
   discovery_->start();
+  reportLater();
+}
+
+// One line every few seconds with what on-call needs to tell causes apart: final answers, how attempts ended,
+// connections, and the largest buffers.
+void Gatekeeper::reportLater() {
+  report_.expires_after(kReportEvery);
+  report_.async_wait([this](const Error& error) {
+    if (error) return;
+    report();
+    reportLater();
+  });
+}
+
+void Gatekeeper::report() {
+  const WorkerPool::Stats pool = pool_.takeStats();
+  const ClientServer::Stats server = server_.takeStats();
+  const Discovery::Stats discovery = discovery_->takeStats();
+  const auto ended = [&](Result result) { return pool.results[static_cast<std::size_t>(result)]; };
+  std::fprintf(
+      stderr,
+      "burlwind: served %u refused %u failed %u rejected %u held %zu; attempts ok %u error %u "
+      "(unreadable %u) full %u timeout %u unconnected %u reset %u cancelled %u; connections client %zu "
+      "worker %zu; most buffered client %zu worker %zu; discovery read %zu longest line %zu lists %u\n",
+      served_, refused_, failed_, server.rejected, held_.size(), ended(Result::ok), ended(Result::error),
+      pool.unreadable, ended(Result::full), ended(Result::timeout), ended(Result::connectFailed),
+      ended(Result::reset), ended(Result::cancelled), server_.connections(), pool_.connections(),
+      server.mostBuffered, pool.mostBuffered, discovery.read, discovery.longestLine, discovery.lists);
+  served_ = refused_ = failed_ = 0;
 }
 
 void Gatekeeper::drain(std::function<void()> done) {
@@ -150,6 +181,7 @@
     Answer served;
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
+    ++served_;
     answer(outcome.id, served);
   }
   gateway_.outcome(clock_.now(), outcome);
@@ -221,6 +253,7 @@
   refusal.status = http::status::too_many_requests;
   refusal.body = "refused: try again later\n";
   refusal.retryAfter = retryAfter;
+  ++refused_;
   answer(id, refusal);
 }
 
@@ -228,6 +261,7 @@
   Answer failure;
   failure.status = http::status::bad_gateway;
   failure.body = "failed\n";
+  ++failed_;
   answer(id, failure);
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -76,6 +76,8 @@
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, const Answer& answer);
+  void reportLater();
+  void report();
   std::string attemptBytes(const Held& held, irisring::Time wait) const;
 
   boost::asio::io_context& io_;
@@ -88,7 +90,8 @@
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
-  boost::asio::steady_timer drain_;
+  boost::asio::steady_timer drain_, report_;
+  unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
   bool ready_ = false;
 };
 
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -88,6 +88,7 @@
     busy_ = false;
     outcome_.result = written_ || result == Result::cancelled ? result : Result::connectFailed;
     stamp();
+    pool_.count(outcome_.result);
     return outcome_;
   }
 
@@ -177,7 +178,11 @@
   void take() {
     Error error;
     const bool done = feed(*parser_, in_, error);
-    if (error) return end(Result::error);
+    pool_.stats_.mostBuffered = std::max(pool_.stats_.mostBuffered, in_.size());
+    if (error) {
+      ++pool_.stats_.unreadable;
+      return end(Result::error);
+    }
     if (done) return answered();
     read();
   }
@@ -197,6 +202,7 @@
     AttemptEnd whole;
     outcome_.result = resultOf(answer);
     stamp();
+    pool_.count(outcome_.result);
     int percent = 0;
     if (parse(view(answer["X-RateLimit-Used"]), percent) && percent >= 0) outcome_.usePercent = percent;
     outcome_.report = readReport(view(answer["Srv-Load"]), pool_.reportFields_);
@@ -292,6 +298,7 @@
     outcome.attempt = attempt;
     outcome.worker = target;
     outcome.result = Result::connectFailed;
+    count(outcome.result);
     return report(outcome);
   }
   busy_[id] = connection;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -1,6 +1,7 @@
 // Connections to workers: one attempt at a time on each, its outcome, and what stands idle between attempts.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "irisring/decide.hpp"
@@ -37,6 +39,12 @@
     double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
   };
   using Ended = std::function<void(AttemptEnd&&)>;
+  // What happened since the last look, for the service log.
+  struct Stats {
+    std::array<unsigned, 8> results{};  // attempts ended, by irisring::Result
+    unsigned unreadable = 0;            // answers that were no HTTP message within the limits
+    std::size_t mostBuffered = 0;       // bytes of one answer read and not yet understood
+  };
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
              Ended ended);
@@ -56,6 +64,7 @@
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
   std::size_t connections() const { return total_; }
+  Stats takeStats() { return std::exchange(stats_, {}); }
 
  private:
   class Connection;
@@ -73,6 +82,7 @@
   void keep(const Shared& connection);
   void drop(Connection& connection);
   void closeIdle(Worker& worker);
+  void count(irisring::Result result) { ++stats_.results[static_cast<std::size_t>(result)]; }
 
   boost::asio::io_context& io_;
   const Limits limits_;
@@ -81,6 +91,7 @@
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
+  Stats stats_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
