--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
 #include <list>
 #include <map>
 #include <optional>
@@ -101,6 +102,7 @@
 constexpr Time kHoldStep = 40;         // ms between looks for a worker for a request that must not be refused
 constexpr Time kRetryAfter = 250;      // ms advised when no worker can take the request
 constexpr Time kLogEvery = 2000;       // ms between log lines
+constexpr Time kSummaryEvery = 5000;   // ms between lines on what was refused and why
 
 constexpr int kSlots = 16;  // four metered periods in quarter periods
 
@@ -188,7 +190,12 @@
 class Gateway::Core {
  public:
   Core(const Settings& settings, std::uint64_t salt, Time now, Actions& actions)
-      : set_(settings), actions_(actions), random_(salt), bucketSince_(now), ceilingSince_(now) {
+      : set_(settings),
+        actions_(actions),
+        random_(salt),
+        bucketSince_(now),
+        ceilingSince_(now),
+        summaryAt_(now) {
     require(set_.gateways >= 1 && set_.self < set_.gateways, "gateway number out of range");
     require(!set_.classes.empty(), "no classes");
     require(!set_.plans.empty(), "no plans");
@@ -219,6 +226,7 @@
       return;
     }
     Customer& customer = lookUp(now, ask);
+    summarize(now);
     if (const auto wait = admit(customer, ask)) return refuse(ask.id, *wait);
     Held held;
     held.ask = ask;
@@ -226,7 +234,10 @@
     Worker* worker = pick(now, held);
     pressed_ = std::min(kPressedMost, toward(pressed_, worker ? 0 : 1, now - pressedAt_, kPressedTau));
     pressedAt_ = now;
-    if (!worker) return refuse(ask.id, kRetryAfter);
+    if (!worker) {
+      ++refusals_.worker;
+      return refuse(ask.id, kRetryAfter);
+    }
     debit(customer, ask.units);
     send(now, held_.emplace(ask.id, held).first->second, *worker);
   }
@@ -441,7 +452,10 @@
       return 1000 * (units - c.ceiling) * c.setSize / plan.ceilingRate;
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
-    if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
+    if (plan.rate > 0 && c.tokens < want) {
+      ++refusals_.bucket;
+      return 1000 * (want - c.tokens) / plan.rate;
+    }
     if (plan.openLimit > 0 && c.open >= plan.openLimit) return usual(ask.klass);
     const double others = plan.rate > 0 ? c.meanOpen * (1 - share(c)) / share(c) : c.allOpen * (1 - share(c));
     const double chance = plan.openLimit > 0 ? chanceUnder(plan.openLimit - c.open, others) : 1;
@@ -452,7 +466,10 @@
     c.in[static_cast<std::size_t>(c.slot % kSlots)] = empty ? c.fraction : 1;
     // The fraction times the demand is the rate: what it lets in here is this gateway's share of the rate,
     // measured out over time, so that a demand misjudged by some gateways does not add up past the quota.
-    if (empty && c.credit < units) return 1000 * (units - c.credit) / (plan.rate * share(c));
+    if (empty && c.credit < units) {
+      ++refusals_.store;
+      return 1000 * (units - c.credit) / (plan.rate * share(c));
+    }
     if (empty) c.credit -= units;
     return std::nullopt;
   }
@@ -633,7 +650,10 @@
   // The least loaded ready worker, weighted by how slow it has been. Ejected
   // ones serve where no other is.
   Worker* pick(Time now, const Held& held) {
-    if (!held.mayHaveRun && !room()) return nullptr;
+    if (!held.mayHaveRun && !room()) {
+      ++refusals_.room;
+      return nullptr;
+    }
     Worker* best = nullptr;
     double least = 0;
     for (Worker& w : workers_) {
@@ -787,6 +807,30 @@
     actions_.log(line);
   }
 
+  // What was refused since the last line and on which belief, so that a log tells the causes apart.
+  void summarize(Time now) {
+    if (now - summaryAt_ < kSummaryEvery) return;
+    summaryAt_ = now;
+    unsigned ready = 0, ejected = 0, cold = 0, full = 0;
+    for (const Worker& w : workers_) {
+      if (w.listed.phase != Phase::ready) continue;
+      ++ready, ejected += w.ejectedUntil > now, cold += warmth(w, now)<1, full += w.fullUntil> now;
+    }
+    char line[240];
+    std::snprintf(
+        line, sizeof line,
+        "refused: bucket %u store %u worker %u (gateway's limit %u); limit %.1f out %u pressed %.2f; "
+        "workers ready %u ejected %u cold %u full %u",
+        refusals_.bucket, refusals_.store, refusals_.worker, refusals_.room, limit_, inFlight_, pressed_,
+        ready, ejected, cold, full);
+    refusals_ = {};
+    actions_.log(line);
+  }
+
+  struct Refusals {
+    unsigned bucket = 0, store = 0, worker = 0, room = 0;
+  };
+
   const Settings set_;
   Actions& actions_;
   Random random_;
@@ -809,6 +853,8 @@
   Time warmAt_ = 0;
   unsigned warmWorkers_ = 0;
   Time loggedAt_ = -kLogEvery;
+  Refusals refusals_;
+  Time summaryAt_ = 0;
 };
 
 Gateway::Gateway(const Settings& settings, std::uint64_t salt, Time now, Actions& actions)
