--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace burlwind {
 namespace {
@@ -204,6 +205,9 @@
     pool_.count(outcome_.result);
     int percent = 0;
     if (parse(view(answer["X-RateLimit-Used"]), percent) && percent >= 0) outcome_.usePercent = percent;
+    double units = 0;
+    if (parse(view(answer["X-Cost-Units"]), units) && std::isfinite(units) && units > 0)
+      outcome_.trueUnits = units;
     outcome_.report = readReport(view(answer["Srv-Load"]), pool_.reportFields_);
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -145,6 +145,21 @@
   EXPECT_EQ(ends[0].body, "body");
 }
 
+TEST_F(Pool, TellsTheTrueUnitsOfAnAnswer) {
+  open({});
+  const std::pair<const char*, double> cases[] = {
+      {"X-Cost-Units: 3\r\n", 3},  {"X-Cost-Units: 2.5\r\n", 2.5}, {"X-Cost-Units: many\r\n", 0},
+      {"X-Cost-Units: -1\r\n", 0}, {"X-Cost-Units: inf\r\n", 0},   {"", 0}};
+  for (const auto& [header, units] : cases) {
+    ends.clear();
+    start(1);
+    untilSeen(worker.count("\r\n\r\n") + 1);
+    worker.peers[0]->send(reply("200 OK", "", header));
+    untilEnds(1);
+    EXPECT_EQ(ends[0].outcome.trueUnits, units) << header;
+  }
+}
+
 TEST_F(Pool, HasNoReportWhereAFigureIsMissingOrMalformed) {
   open({});
   for (const char* load : {"Srv-Load: queue=2\r\n", "Srv-Load: queue=2,util=high\r\n", ""}) {
