--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -111,16 +111,31 @@
 
 Config parseConfig(std::string_view text) { return fromJson(parseFile(text)); }
 
-Config readConfig() {
+namespace {
+
+json configFile() {
   const char* path = std::getenv("BALANCER_CONFIG");
   if (!path) bad("BALANCER_CONFIG is not set");
   std::ifstream in(path);
   if (!in) bad(std::string("cannot read ") + path);
-  json file = parseFile(std::string(std::istreambuf_iterator<char>(in), {}));
+  return parseFile(std::string(std::istreambuf_iterator<char>(in), {}));
+}
+
+}  // namespace
+
+Config readConfig() {
+  json file = configFile();
   fromEnvironment("BALANCER_NAME", "name", file);
   fromEnvironment("BALANCER_LISTEN", "listen", file);
   fromEnvironment("BALANCER_DISCOVERY", "discovery", file);
   return fromJson(file);
 }
 
+Config rereadConfig() {
+  json file = configFile();
+  fromEnvironment("BALANCER_NAME", "name", file);
+  fromEnvironment("BALANCER_LISTEN", "listen", file);
+  return fromJson(file);
+}
+
 }  // namespace burlwind
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -23,6 +23,9 @@
 
 // All throw std::runtime_error with one plain line on what is missing or malformed.
 Config readConfig();  // from BALANCER_CONFIG and the other variables, which go before the file
+// The file as it is by now: after a change of it the variables, which stay as they were at the start, are
+// old.
+Config rereadConfig();
 Config parseConfig(std::string_view json);
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view hostPort);
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -89,6 +89,15 @@
                           }));
   }
 
+  void moveTo(const tcp::endpoint& agent) {
+    if (stopped_ || agent == agent_) return;
+    agent_ = agent;
+    backoff_ = kBackoffFirst;
+    Error ignored;
+    socket_.close(ignored);
+    open();
+  }
+
   Stats takeStats() { return std::exchange(stats_, {}); }
 
   void stop() {
@@ -181,7 +190,7 @@
 
   tcp::socket socket_;
   asio::steady_timer timer_;
-  const tcp::endpoint agent_;
+  tcp::endpoint agent_;
   long long generation_;
   const Told told_;
   beast::flat_buffer in_;
@@ -199,6 +208,7 @@
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
 Discovery::Stats Discovery::takeStats() { return watch_->takeStats(); }
+void Discovery::moveTo(const tcp::endpoint& agent) { watch_->moveTo(agent); }
 void Discovery::stop() { watch_->stop(); }
 
 }  // namespace burlwind
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -47,6 +47,8 @@
   };
   Stats takeStats();
   void start();
+  // Another agent from now on; it is asked for what has changed since the last version told.
+  void moveTo(const boost::asio::ip::tcp::endpoint& agent);
   void stop();
 
  private:
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -113,6 +113,11 @@
   served_ = refused_ = failed_ = 0;
 }
 
+void Gatekeeper::reload(const Config& config) {
+  discovery_->moveTo(config.discovery);
+  std::fprintf(stderr, "burlwind: configuration read again\n");
+}
+
 void Gatekeeper::drain(std::function<void()> done) {
   server_.beginDrain();
   drain_.expires_after(kAcceptAfterTerm);
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -38,6 +38,9 @@
   ~Gatekeeper() override;
 
   void start();
+  // Takes over what may change while the program runs: the address of discovery. The rest stays as it was at
+  // the start; the counter, whose address may change too, is not used.
+  void reload(const Config& config);
   // Goes on for a while, finishes what is held, then calls `done`.
   void drain(std::function<void()> done);
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,6 +1,8 @@
 // burlwind: one gatekeeper on real sockets.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -9,6 +11,50 @@
 
 namespace {
 
+using Error = boost::system::error_code;
+
+constexpr int kReadsOfAChange = 10;  // of a file that is not readable yet: it may be half written
+constexpr auto kBetweenReads = std::chrono::milliseconds(100);
+
+// SIGHUP: reads the configuration again. One that cannot be read changes nothing and ends nothing.
+class Reloader {
+ public:
+  Reloader(boost::asio::io_context& io, burlwind::Gatekeeper& gatekeeper)
+      : gatekeeper_(gatekeeper), signals_(io, SIGHUP), pause_(io) {
+    wait();
+  }
+
+ private:
+  void wait() {
+    signals_.async_wait([this](const Error& error, int) {
+      if (error) return;
+      pause_.cancel();
+      reload(kReadsOfAChange);
+      wait();
+    });
+  }
+
+  void reload(int reads) {
+    try {
+      gatekeeper_.reload(burlwind::rereadConfig());
+    } catch (const std::exception& wrong) {
+      if (reads > 1) return again(reads - 1);
+      std::fprintf(stderr, "burlwind: kept as it was: %s\n", wrong.what());
+    }
+  }
+
+  void again(int reads) {
+    pause_.expires_after(kBetweenReads);
+    pause_.async_wait([this, reads](const Error& error) {
+      if (!error) reload(reads);
+    });
+  }
+
+  burlwind::Gatekeeper& gatekeeper_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer pause_;
+};
+
 int run() {
   const burlwind::Config config = burlwind::readConfig();
   std::signal(SIGPIPE, SIG_IGN);
@@ -18,6 +64,7 @@
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain([&] { io.stop(); });
   });
+  const Reloader reloader(io, gatekeeper);
   gatekeeper.start();
   io.run();
   return 0;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -294,6 +294,29 @@
   EXPECT_EQ(other.count("\r\n\r\n"), 1u);
 }
 
+TEST_F(Gate, AReloadMovesTheWatchAndKeepsWhatIsKnown) {
+  openWithWorker();
+  until([&] { return discovery.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch");
+  Listener second(io);
+  node->reload(parseConfig(configJson(second.text()).dump()));
+  until([&] { return second.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch at the new address");
+  until([&] { return discovery.peers[0]->ended; }, "the old watch's end");
+  EXPECT_TRUE(node->ready());
+  second.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string line =
+      roster(2, false,
+             json::array({entry("s-1", worker.text(), "Terminating"), entry("s-2", other.text())})) +
+      "\n";
+  std::ostringstream size;
+  size << std::hex << line.size();
+  second.peers[0]->send(size.str() + "\r\n" + line + "\r\n");
+  second.peers[0]->end();
+  until([&] { return second.count("from=2 HTTP/1.1\r\n") == 1; }, "the next watch");
+  ask(Ask());
+  until([&] { return other.count("Req-Id: ") == 1; }, "a request at the worker told of there");
+  EXPECT_EQ(worker.count("Req-Id: "), 0u);
+}
+
 TEST_F(Gate, DrainFinishesWhatIsHeldAndServesWhatStillComes) {
   openWithWorker();
   const auto early = ask(Ask());
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,7 +1,10 @@
 // The parts of the program one by one: the clients' side, the workers' side, the configuration.
+#include <signal.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include "loopback.hpp"
@@ -279,6 +282,53 @@
   EXPECT_THROW(parseConfig(file.dump()), std::runtime_error);
 }
 
+// The program itself, on a configuration file of the test's.
+class Program : public Loopback {
+ protected:
+  void SetUp() override {
+    file = ::testing::TempDir() + "burlwind-config-" + std::to_string(getpid()) + ".json";
+  }
+  void TearDown() override {
+    if (child > 0) kill(child, SIGKILL), waitpid(child, nullptr, 0);
+    std::filesystem::remove(file);
+  }
+  void write(const std::string& text) { std::ofstream(file) << text; }
+  void run(const std::string& discoveryVariable) {
+    child = fork();
+    ASSERT_GE(child, 0);
+    if (child > 0) return;
+    setenv("BALANCER_CONFIG", file.c_str(), 1);
+    setenv("BALANCER_DISCOVERY", discoveryVariable.c_str(), 1);
+    execl(BURLWIND_PROGRAM, BURLWIND_PROGRAM, static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  bool ended(int& status) { return waitpid(child, &status, WNOHANG) == child; }
+
+  Listener first{io}, second{io};
+  std::string file;
+  pid_t child = 0;
+};
+
+// What was set at the start names the old address; the file that has changed since names the new one.
+TEST_F(Program, ReadsTheFileAgainOnSighupAndGoesOnThroughABadOne) {
+  write(configJson(first.text()).dump());
+  run(first.text());
+  until([&] { return first.count("watch=1") == 1; }, "a watch");
+  write("{ half a");
+  kill(child, SIGHUP);
+  io.restart();
+  io.run_for(200ms);
+  write(configJson(second.text()).dump());
+  kill(child, SIGHUP);
+  until([&] { return second.count("watch=1") == 1; }, "a watch at the new address");
+  int status = 0;
+  EXPECT_FALSE(ended(status));
+  kill(child, SIGTERM);
+  until([&] { return ended(status); }, "the end");
+  child = 0;
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+}
+
 TEST(Configuration, TheProgramEndsWithOneLineOnABadOne) {
   const std::string out = ::testing::TempDir() + "burlwind-bad-" + std::to_string(getpid());
   const std::string command =
