--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -118,7 +118,7 @@
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
-    arm(server_.limits_.idleFor);
+    arm(first_ ? server_.limits_.firstWithin : server_.limits_.idleFor);
     server_.accept();
   }
 
@@ -129,7 +129,7 @@
                               reading_ = false;
                               if (error) return close();
                               in_.commit(n);
-                              if (state_ == State::lingering) in_.clear();
+                              if (state_ == State::lingering && !discard()) return;
                               if (state_ == State::reading) parse();
                               if (state_ != State::closed && in_.size() < kMostAhead) read();
                             }));
@@ -138,7 +138,7 @@
   void parse() {
     if (!begun_ && in_.size() > 0) {
       begun_ = true;
-      arm(server_.limits_.wholeWithin);
+      if (!first_) arm(server_.limits_.wholeWithin);
     }
     Error error;
     const bool done = feed(*parser_, in_, error);
@@ -162,7 +162,7 @@
   }
 
   void handle(ClientMessage&& message) {
-    continued_ = false;
+    first_ = continued_ = false;
     last_ = !message.keep_alive();
     if (message.target() == "/health/ready") return sayReady(message.method());
     const auto call = readCall(message, server_.config_);
@@ -215,9 +215,18 @@
     state_ = State::lingering;
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    in_.clear();
+    discarded_ = 0;
     arm(server_.limits_.lingerFor);
-    if (!reading_) read();
+    if (discard() && !reading_) read();
+  }
+
+  // Somebody who sends without end is not worth the time that reading it takes.
+  bool discard() {
+    discarded_ += in_.size();
+    in_.clear();
+    if (discarded_ <= server_.limits_.lingerBytes) return true;
+    close();
+    return false;
   }
 
   ClientServer& server_;
@@ -229,6 +238,8 @@
   State state_ = State::reading;
   Clock::time_point idleSince_;
   irisring::RequestId id_ = 0;
+  std::size_t discarded_ = 0;
+  bool first_ = true;       // no whole request has come yet
   bool begun_ = false;      // a request's first byte has come
   bool continued_ = false;  // 100 Continue was considered
   bool last_ = false;       // the connection ends with the next answer
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -50,9 +50,12 @@
   struct Limits {
     std::size_t connections = 480;
     std::chrono::milliseconds idleFor{75000};
-    std::chrono::milliseconds wholeWithin{10000};  // a request, from its first byte
+    // A peer that sends no whole request is owed an error or a close within 3 s of connecting.
+    std::chrono::milliseconds firstWithin{2500};  // a connection's first request, from its acceptance
+    std::chrono::milliseconds wholeWithin{2500};  // a later one, from its first byte
     std::chrono::milliseconds writeWithin{10000};
     std::chrono::milliseconds lingerFor{1000};
+    std::size_t lingerBytes = 256 * 1024;  // thrown away of what a peer goes on sending after its last answer
   };
 
   // What happened since the last look, for the service log.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -45,12 +45,44 @@
   limits.wholeWithin = 50ms;
   open(limits);
   const auto client = dial(server->address());
+  client->send(
+      "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");  // a later request: the first has its own limit
+  until([&] { return client->has("ready"); }, "the first answer");
   client->send(Ask().text().substr(0, 40));
   until([&] { return client->ended; }, "the connection ends");
   EXPECT_TRUE(client->has("HTTP/1.1 408")) << client->got;
   EXPECT_EQ(holder.last, 0u);
 }
 
+// Counted from the connection's start, however its bytes trickle in.
+TEST_F(Clients, APeerWithoutAWholeFirstRequestIsEndedInTime) {
+  EXPECT_LT(ClientServer::Limits().firstWithin, 3s);
+  EXPECT_LT(ClientServer::Limits().wholeWithin, 3s);
+  ClientServer::Limits limits;
+  limits.firstWithin = 300ms;
+  limits.wholeWithin = 60s;
+  open(limits);
+  const auto silent = dial(server->address());
+  const auto trickling = dial(server->address());
+  trickling->send("GET ");
+  until([&] { return silent->ended && trickling->ended; }, "both connections end");
+  EXPECT_TRUE(silent->got.empty());
+  EXPECT_TRUE(trickling->has("HTTP/1.1 408")) << trickling->got;
+  EXPECT_EQ(holder.last, 0u);
+}
+
+TEST_F(Clients, APeerThatSendsOnAfterItsLastAnswerIsCutOff) {
+  ClientServer::Limits limits;
+  limits.lingerFor = 60s;
+  limits.lingerBytes = 1000;
+  open(limits);
+  const auto client = dial(server->address());
+  client->send("POST /order HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+  until([&] { return client->has("HTTP/1.1 413"); }, "an answer");
+  client->send(std::string(20000, 'x'));
+  until([&] { return server->connections() == 0; }, "the connection ends");
+}
+
 TEST_F(Clients, ARequestPastTheBodyLimitIsRejectedWithItsHeader) {
   open({});
   const auto client = dial(server->address());
