--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -40,6 +40,21 @@
   return {};
 }
 
+// Whether one of the headers that tell a request of the service apart is there twice: which one counts would
+// be anybody's guess, and a worker may guess otherwise.
+bool ambiguous(const ClientMessage& message) {
+  for (const char* name : {"Req-Id", "X-Tier", "Req-Deadline-Ms", "X-Call-Terms", "Idempotency-Key"})
+    if (message.count(name) > 1) return true;
+  return false;
+}
+
+bool isId(std::string_view text) {
+  const auto hex = [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+  };
+  return text.size() == 16 && std::all_of(text.begin(), text.end(), hex);
+}
+
 std::optional<unsigned> indexOf(const std::vector<std::string>& names, std::string_view name) {
   const auto found = std::find(names.begin(), names.end(), name);
   if (name.empty() || found == names.end()) return std::nullopt;
@@ -78,6 +93,8 @@
   if (!klass && !named) return Rejection{http::status::not_found, "no such path"};
   if (!klass) return Rejection{bad, "unknown class"};
   if (!named) return Rejection{bad, "no Req-Id"};
+  if (!isId(header(message, "Req-Id"))) return Rejection{bad, "bad Req-Id"};
+  if (ambiguous(message)) return Rejection{bad, "a header of the service is there twice"};
   Call call;
   call.klass = *klass;
   if (!methodFits(message, config.settings.classes[*klass].repeat))
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -85,6 +85,9 @@
   };
   with([](Ask& a) { a.klass = "unheard"; }, "400");
   with([](Ask& a) { a.plan = "unheard"; }, "400");
+  with([](Ask& a) { a.id = "not-an-id"; }, "400");
+  with([](Ask& a) { a.extra = "Req-Id: 00000000000000a2\r\n"; }, "400");
+  with([](Ask& a) { a.extra = "X-Tier: small\r\n"; }, "400");
   with([](Ask& a) { a.query = "client=xyz"; }, "400");
   with([](Ask& a) { a.query = "client=0000000200000000"; }, "400");  // 2^33
   with([](Ask& a) { a.query = "other=1"; }, "400");
