--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -86,7 +86,8 @@
 constexpr double kLimitUsed = 0.7;    // share of a limit that must be in use for it to grow
 constexpr Time kLimitHold = 200;      // ms between cuts; one crowd of late answers is one cut
 constexpr double kPoolCut = 2;        // the gateway's limit: e-folds a second while answers are late
-constexpr double kPoolSpare = 2;      // times what is out, the limit that a first late answer leaves
+constexpr double kPoolSpare = 2;      // times the most lately out, the limit that a first late answer leaves
+constexpr Time kPeakTau = 4000;       // ms, memory of the most lately out; shorter: one late answer closes
 constexpr double kPoolRise = 0.6;     // and early; the two hold late answers near a quarter in overload
 constexpr double kLimitLate = 0.5;    // of the aim: an answer this late cuts the limit
 constexpr double kLimitEarly = 0.25;  // of the aim: an answer within this lets a used-up limit grow
@@ -724,13 +725,20 @@
     }
     const double span = std::min(now - limitAt_, kLimitHold) / 1000;
     limitAt_ = now;
+    notePeak(now);
     if (late)
-      limit_ = std::max(kLimitLeast,
-                        std::min(limit_, kPoolSpare * (inFlight_ + 1.0)) * std::exp(-kPoolCut * span));
+      limit_ = std::max(kLimitLeast, std::min(limit_, kPoolSpare * (peak_ + 1)) * std::exp(-kPoolCut * span));
     else if (early && inFlight_ + 1 >= kLimitUsed * limit_)
       limit_ *= std::exp(kPoolRise * span);
   }
 
+  // The most attempts lately out: what was out at one moment says little where a request takes less time than
+  // lies between two, and a limit drawn from it would refuse the next burst to idle workers.
+  void notePeak(Time now) {
+    peak_ = std::max<double>(inFlight_, toward(peak_, 0, now - peakAt_, kPeakTau));
+    peakAt_ = now;
+  }
+
   void noteReport(Worker& w, Time now, const std::vector<double>& report) {
     const std::size_t n = std::min(report.size(), set_.reportFields.size());
     for (std::size_t i = 0; i < n; ++i) {
@@ -763,6 +771,7 @@
     out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
     ++held.attempts;
     ++inFlight_;
+    notePeak(now);
     if (++worker.inFlight == 1) worker.heardAt = now;
     worker.coldTokens -= 1;
     if (Customer* customer = peek(held.ask.customer)) noteOpen(*customer, now, 1);
@@ -846,6 +855,8 @@
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double limit_ = 0;       // and how many may be
   Time limitAt_ = 0;
+  double peak_ = 0;  // the most lately out
+  Time peakAt_ = 0;
   double pressed_ = 0;  // share of admitted tries that find no worker
   Time pressedAt_ = 0;
   double budget_ = kBudgetMost;  // early time-outs and repeats after them that are left
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -287,6 +287,31 @@
   }
 }
 
+// A costly request that is answered late while nothing else is out says nothing of how many at once are too
+// many: the burst after it still finds its idle workers.
+TEST(Limit, OneLateAnswerInALullLeavesRoomForTheNextBurst) {
+  Settings s = settings();
+  s.gateways = 1;
+  Bench b(s);
+  std::vector<Member> fleet;
+  for (WorkerId w = 1; w <= 9; ++w) fleet.push_back(member(w));
+  b.list(fleet);
+  CustomerId c = 0;
+  const auto burst = [&] {
+    std::vector<RequestId> sent;
+    for (int i = 0; i < 10; ++i)
+      if (const RequestId id = b.ask(2, 0, ++c); b.wasSent(id)) sent.push_back(id);
+    b.now += 100;
+    for (const RequestId id : sent) b.end(id, Result::ok, 100);
+    return sent.size();
+  };
+  EXPECT_EQ(burst(), 10u);
+  const RequestId costly = b.ask(2, 0, ++c);
+  b.now += 900;
+  b.end(costly, Result::ok, 900);
+  EXPECT_GE(burst(), 9u);
+}
+
 // Two hundred gateways before twenty workers: one attempt of each at every worker would be ten times what
 // they hold. Late answers bring what a gateway has out far below one for each worker, and early ones bring it
 // back.
