--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -23,7 +23,7 @@
 constexpr auto kSilence = 7s;  // an empty line comes every 2 s; shorter: one late line reopens the watch
 constexpr auto kBackoffFirst = 50ms;
 constexpr auto kBackoffMost = 2000ms;
-constexpr std::size_t kMostLine = std::size_t{8} << 20;
+constexpr std::size_t kMostLine = std::size_t{1} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
   if (lifecycle == "Ready") return irisring::Phase::ready;
@@ -142,7 +142,8 @@
   void take() {
     Error error;
     const bool done = feed(*parser_, in_, error);
-    if (error || (parser_->is_header_done() && parser_->get().result() != http::status::ok))
+    if (error || (!done && in_.size() > kMostHeader) ||
+        (parser_->is_header_done() && parser_->get().result() != http::status::ok))
       return again("odd answer");
     line_ += parser_->get().body();
     parser_->get().body().clear();
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -178,6 +178,8 @@
   void take() {
     Error error;
     const bool done = feed(*parser_, in_, error);
+    // A chunk's extension and the trailer count in neither of the parser's limits.
+    if (!error && !done && in_.size() > kMostHeader) error = http::error::header_limit;
     pool_.stats_.mostBuffered = std::max(pool_.stats_.mostBuffered, in_.size());
     if (error) {
       ++pool_.stats_.unreadable;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -239,6 +239,22 @@
   EXPECT_EQ(pool->connections(), 0u);
 }
 
+// What belongs to no body and no header is bounded too: a chunk's extension, and the trailer.
+TEST_F(Pool, AnAnswerWithoutEndOutsideItsBodyIsUnreadable) {
+  for (const char* prefix : {"5;", "0\r\nX: "}) {
+    ends.clear();
+    open({});
+    start(1);
+    const auto seen = worker.peers.size();
+    until([&] { return worker.peers.size() > seen && worker.peers.back()->has("\r\n\r\n"); }, "a request");
+    worker.peers.back()->send(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + prefix);
+    for (int i = 0; i < 20; ++i) worker.peers.back()->send(std::string(1000, 'x'));
+    untilEnds(1);
+    EXPECT_EQ(ends[0].outcome.result, Result::error);
+    EXPECT_EQ(pool->connections(), 0u);
+  }
+}
+
 TEST_F(Pool, AnUnknownWorkerCannotBeReachedAndIsToldLater) {
   open({});
   pool->retire(1);
