--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -20,9 +20,12 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 1000ms;
-constexpr auto kSilence = 7s;  // an empty line comes every 2 s; shorter: one late line reopens the watch
+constexpr auto kAnswerWithin = 2s;  // the agent answers at once, or it is down and later answers anew
+// An empty line comes every 2 s. What the watch does not bring counts as told 6 s later, or 4 s after a
+// reload: longer, and a worker that drains is still sent to. Shorter: one late line reopens the watch.
+constexpr auto kSilence = 4500ms;
 constexpr auto kBackoffFirst = 50ms;
-constexpr auto kBackoffMost = 2000ms;
+constexpr auto kBackoffMost = 1000ms;
 constexpr std::size_t kMostLine = std::size_t{1} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -122,7 +125,7 @@
     request.set(http::field::host, "discovery");
     out_.clear();
     append(out_, request);
-    wait(kSilence);
+    wait(kAnswerWithin);
     asio::async_write(socket_, asio::buffer(out_), guard([this](const Error& error, std::size_t) {
                         if (error) return again("broken");
                         read();
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -297,6 +297,16 @@
   EXPECT_EQ(other.count("\r\n\r\n"), 1u);
 }
 
+// What a watch does not bring counts as told some seconds later all the same, so a silent agent is asked
+// anew.
+TEST_F(Gate, AnAgentThatDoesNotAnswerIsAskedAgainInTime) {
+  openWithWorker();
+  until([&] { return discovery.count("watch=1") == 1; }, "a watch");
+  const auto asked = std::chrono::steady_clock::now();
+  until([&] { return discovery.count("watch=1") == 2; }, "another watch");
+  EXPECT_LT(std::chrono::steady_clock::now() - asked, std::chrono::seconds(5));
+}
+
 TEST_F(Gate, AReloadMovesTheWatchAndKeepsWhatIsKnown) {
   openWithWorker();
   until([&] { return discovery.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch");
