--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -180,6 +180,11 @@
   return result == Result::full || result == Result::connectFailed || result == Result::moot;
 }
 
+// Whether the worker's process had a part in this end: a client that leaves says nothing of it.
+bool fromWorker(Result result) {
+  return result == Result::ok || result == Result::error || result == Result::full || result == Result::reset;
+}
+
 void require(bool holds, const char* what) {
   if (!holds) throw std::invalid_argument(std::string("settings: ") + what);
 }
@@ -674,7 +679,7 @@
   void judge(Worker& w, Time now, const Flight& flight, const Outcome& end) {
     if (w.inFlight > 0) --w.inFlight;
     if (inFlight_ > 0) --inFlight_;
-    if (end.result != Result::timeout && end.result != Result::connectFailed) w.heardAt = now;
+    if (fromWorker(end.result)) w.heardAt = now;
     if (!end.report.empty()) noteReport(w, now, end.report);
     const Result result = end.result;
     steerLimits(w, now, set_.classes[flight.klass].aim, end);
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -287,6 +287,33 @@
   }
 }
 
+// Clients that leave end attempts too, and are no sign of life of the worker.
+TEST(Health, ASilentWorkerIsPassedOverThoughClientsLeave) {
+  Bench b;
+  b.list({member(1), member(2)});
+  CustomerId c = 0;
+  std::vector<std::pair<int, RequestId>> busy;  // at the other worker, more than at the silent one
+  int toCut = 0;
+  for (int i = 0; i < 400; ++i) {
+    b.now += 25;
+    while (!busy.empty() && i - busy.front().first >= 6) {
+      b.end(busy.front().second, Result::ok, 150);
+      busy.erase(busy.begin());
+    }
+    const RequestId id = b.ask(2, 0, ++c);
+    if (!b.wasSent(id)) continue;
+    if (b.lastWorker() == 2) {
+      busy.emplace_back(i, id);
+    } else if (i < 80) {
+      b.end(id, Result::ok, 50);
+    } else if (++toCut > 2) {
+      b.gateway.clientLeft(b.now, id);
+      b.end(id, Result::cancelled, 2, -1, true);
+    }
+  }
+  EXPECT_LE(toCut, 8);
+}
+
 // A costly request that is answered late while nothing else is out says nothing of how many at once are too
 // many: the burst after it still finds its idle workers.
 TEST(Limit, OneLateAnswerInALullLeavesRoomForTheNextBurst) {
