--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -104,12 +104,14 @@
   std::fprintf(
       stderr,
       "burlwind: served %u refused %u failed %u rejected %u held %zu; attempts ok %u error %u "
-      "(unreadable %u) full %u timeout %u unconnected %u reset %u cancelled %u; connections client %zu "
+      "(unreadable %u) full %u timeout %u unconnected %u reset %u (reused %u, in an answer %u) cancelled %u; "
+      "connections client %zu "
       "worker %zu; most buffered client %zu worker %zu; discovery read %zu longest line %zu lists %u\n",
       served_, refused_, failed_, server.rejected, held_.size(), ended(Result::ok), ended(Result::error),
       pool.unreadable, ended(Result::full), ended(Result::timeout), ended(Result::connectFailed),
-      ended(Result::reset), ended(Result::cancelled), server_.connections(), pool_.connections(),
-      server.mostBuffered, pool.mostBuffered, discovery.read, discovery.longestLine, discovery.lists);
+      ended(Result::reset), pool.resetReused, pool.resetInAnswer, ended(Result::cancelled),
+      server_.connections(), pool_.connections(), server.mostBuffered, pool.mostBuffered, discovery.read,
+      discovery.longestLine, discovery.lists);
   served_ = refused_ = failed_ = 0;
 }
 
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -196,6 +196,8 @@
       parser_->put_eof(error);
       if (!error && parser_->is_done()) return answered();
     }
+    pool_.stats_.resetReused += used_;
+    pool_.stats_.resetInAnswer += parser_->got_some();
     end(Result::reset);
   }
 
@@ -218,6 +220,7 @@
                       answer.result() != http::status::switching_protocols && answer.result_int() >= 200;
     whole.body = std::move(answer.body());
     busy_ = false;
+    used_ = true;
     const auto self = shared_from_this();
     if (good) {
       pool_.keep(self);
@@ -246,6 +249,7 @@
   Clock::time_point startedAt_, giveUpAt_;
   bool up_ = false;
   bool busy_ = false;
+  bool used_ = false;     // has carried an attempt before
   bool written_ = false;  // the request's last byte: from here on it may have run
   bool closed_ = false;
 };
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -43,6 +43,8 @@
   struct Stats {
     std::array<unsigned, 8> results{};  // attempts ended, by irisring::Result
     unsigned unreadable = 0;            // answers that were no HTTP message within the limits
+    unsigned resetReused = 0;           // connections that broke under an attempt and had carried one before
+    unsigned resetInAnswer = 0;         // and that broke within an answer
     std::size_t mostBuffered = 0;       // bytes of one answer read and not yet understood
   };
 
