--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -84,6 +84,7 @@
 constexpr double kLimitLeast = 0.1;   // lower: workers that recover are found too late
 constexpr double kLimitCut = 0.85;    // factor when an answer comes late; lower: half-empty workers
 constexpr double kLimitUsed = 0.7;    // share of a limit that must be in use for it to grow
+constexpr double kAlone = 2;          // times its kind's latency, from which a worker is slow by itself
 constexpr Time kLimitHold = 200;      // ms between cuts; one crowd of late answers is one cut
 constexpr double kPoolCut = 2;        // the gateway's limit: e-folds a second while answers are late
 constexpr double kPoolSpare = 2;      // times the most lately out, the limit that a first late answer leaves
@@ -631,6 +632,12 @@
   // One limit for all that this gateway has out; a fraction of one is kept by chance.
   bool room() { return inFlight_ + random_.next() < limit_; }
 
+  // Slow beside its kind: its late answers tell of itself, not of what the workers bear together.
+  bool slowAlone(const Worker& w) const {
+    const auto kind = kinds_.find(w.listed.kind);
+    return kind != kinds_.end() && slow(w) > kAlone * kind->second;
+  }
+
   // How slow a worker is, as far as its few answers tell against those of all workers of its kind.
   double slow(const Worker& w) const {
     const auto kind = kinds_.find(w.listed.kind);
@@ -731,7 +738,7 @@
     const double span = std::min(now - limitAt_, kLimitHold) / 1000;
     limitAt_ = now;
     notePeak(now);
-    if (late)
+    if (late && !slowAlone(w))
       limit_ = std::max(kLimitLeast, std::min(limit_, kPoolSpare * (peak_ + 1)) * std::exp(-kPoolCut * span));
     else if (early && inFlight_ + 1 >= kLimitUsed * limit_)
       limit_ *= std::exp(kPoolRise * span);
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -339,6 +339,29 @@
   EXPECT_GE(burst(), 9u);
 }
 
+// One machine that is slow by itself must not hold back what goes to the others.
+TEST(Limit, LateAnswersOfOneSlowWorkerLeaveTheGatewaysLimit) {
+  Settings s = settings();
+  s.gateways = 1;
+  Bench b(s);
+  b.list({member(1), member(2)});
+  CustomerId c = 0;
+  std::vector<RequestId> atSlow, atOther;
+  for (int i = 0; i < 20; ++i)
+    if (const RequestId id = b.ask(2, 0, ++c); b.wasSent(id))
+      (b.lastWorker() == 1 ? atSlow : atOther).push_back(id);
+  ASSERT_GE(atSlow.size(), 8u);
+  b.now += 100;
+  for (const RequestId id : atOther) b.end(id, Result::ok, 100);
+  for (const RequestId id : atSlow) {
+    b.now += 250;
+    b.end(id, Result::ok, 900);
+  }
+  int out = 0;
+  while (b.wasSent(b.ask(2, 0, ++c))) ++out;
+  EXPECT_GE(out, 9);
+}
+
 // Two hundred gateways before twenty workers: one attempt of each at every worker would be ten times what
 // they hold. Late answers bring what a gateway has out far below one for each worker, and early ones bring it
 // back.
