--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -99,6 +99,12 @@
   std::vector<double> report;
 };
 
+// The workers as the module sees them now.
+struct Census {
+  std::size_t listed = 0;
+  std::size_t avoided = 0;  // of these: by hand, while they drain, or by choice
+};
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -124,7 +130,11 @@
   void outcome(Time now, const Outcome& outcome);
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
+  // By hand: nothing new to this worker, listed or not, until it is let in again, and then as a cold one.
+  void exclude(Time now, WorkerId worker);
+  void include(Time now, WorkerId worker);
 
+  Census census(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -163,6 +163,7 @@
   Time ejectedUntil = 0, ejectFor = 0, fullUntil = 0;
   double coldTokens = 0;
   Time coldAt = 0;
+  Time backAt = 0;  // let in again by hand: cold from then on, whatever the list says of its start
 };
 
 struct Held {
@@ -312,6 +313,37 @@
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
   }
 
+  // Apart from the list and from health, so that no news of the worker ends it.
+  void exclude(Time now, WorkerId id) { barred_.try_emplace(id, now); }
+
+  // The worker may have been restarted in between, and the list may not have told yet.
+  void include(Time now, WorkerId id) {
+    const auto found = barred_.find(id);
+    if (found == barred_.end()) return;
+    const Time since = found->second;
+    barred_.erase(found);
+    Worker* worker = find(id);
+    if (!worker) return;
+    const Member listed = worker->listed;
+    const unsigned inFlight = worker->inFlight;
+    *worker = Worker{};
+    worker->listed = listed;
+    worker->inFlight = inFlight;
+    fresh(*worker, now);
+    worker->heardAt = now;
+    if (listed.started < since) worker->backAt = now;
+  }
+
+  Census census(Time now) const {
+    Census out;
+    for (const Worker& w : workers_) {
+      if (w.listed.phase == Phase::gone) continue;
+      ++out.listed;
+      out.avoided += w.listed.phase != Phase::ready || barred_.contains(w.listed.worker) || shunned(w, now);
+    }
+    return out;
+  }
+
   std::size_t customersHeld() const { return index_.size(); }
   std::size_t requestsHeld() const { return held_.size(); }
 
@@ -576,8 +608,9 @@
 
   // 1 for a warm worker, else the told lower bound of what it can do.
   double warmth(const Worker& w, Time now) const {
-    if (w.listed.started <= 0 || set_.warmUp <= 0) return 1;
-    const double age = std::clamp((now - w.listed.started) / set_.warmUp, 0.0, 1.0);
+    const Time started = std::max(w.listed.started, w.backAt);
+    if (started <= 0 || set_.warmUp <= 0) return 1;
+    const double age = std::clamp((now - started) / set_.warmUp, 0.0, 1.0);
     return set_.coldFrom + (1 - set_.coldFrom) * age;
   }
 
@@ -629,6 +662,11 @@
     return w.inFlight >= 2 && now - w.heardAt > kSilent * *std::max_element(base_.begin(), base_.end());
   }
 
+  // Left alone as long as there is any other.
+  bool shunned(const Worker& w, Time now) const {
+    return w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now);
+  }
+
   // One limit for all that this gateway has out; a fraction of one is kept by chance.
   bool room() { return inFlight_ + random_.next() < limit_; }
 
@@ -670,12 +708,13 @@
     Worker* best = nullptr;
     double least = 0;
     for (Worker& w : workers_) {
-      if (w.listed.phase != Phase::ready || !inGroup(held, w) || !coldRoom(w, now)) continue;
+      if (w.listed.phase != Phase::ready || barred_.contains(w.listed.worker)) continue;
+      if (!inGroup(held, w) || !coldRoom(w, now)) continue;
       if (w.fullUntil > now || (!held.mayHaveRun && w.inFlight + 1 > w.limit)) continue;
       double cost = slow(w) * (load(w, now) + 1) * warmth(w, now);
       if (w.listed.zone != set_.zone) cost *= 1 + kZoneWeight * set_.crossZonePrice;
       cost *= 1 + kTie * random_.next();
-      if (w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now)) cost *= kShunned;
+      if (shunned(w, now)) cost *= kShunned;
       if (std::find(held.tried.begin(), held.tried.end(), w.listed.worker) != held.tried.end())
         cost *= kTried;
       if (!best || cost < least) best = &w, least = cost;
@@ -857,9 +896,10 @@
   Random random_;
   std::list<Customer> table_;  // least recent first
   std::unordered_map<CustomerId, std::list<Customer>::iterator> index_;
-  std::map<unsigned, double> kinds_;  // latency over the class's usual of each kind of worker
-  double meanOthers_ = 0;             // of load reports: what the others have out at a worker
-  std::vector<Worker> workers_;       // in the order of their listing
+  std::map<unsigned, double> kinds_;           // latency over the class's usual of each kind of worker
+  double meanOthers_ = 0;                      // of load reports: what the others have out at a worker
+  std::vector<Worker> workers_;                // in the order of their listing
+  std::unordered_map<WorkerId, Time> barred_;  // put out by hand, and since when
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
   std::vector<Time> base_, baseAt_;  // usual latency of each class
@@ -892,6 +932,9 @@
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
+void Gateway::exclude(Time now, WorkerId worker) { core_->exclude(now, worker); }
+void Gateway::include(Time now, WorkerId worker) { core_->include(now, worker); }
+Census Gateway::census(Time now) const { return core_->census(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -254,15 +254,25 @@
 }
 
 void ClientServer::start() {
+  const bool inherited = config_.acceptFd >= 0;
   try {
-    acceptor_.open(config_.listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(config_.listen);
-    acceptor_.listen();
+    if (inherited) {
+      acceptor_.assign(config_.listen.protocol(), config_.acceptFd);
+    } else {
+      acceptor_.open(config_.listen.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(config_.listen);
+      acceptor_.listen();
+    }
     acceptor_.non_blocking(true);
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen: ") + error.what());
   }
+  if (!inherited) beginAccepting();
+}
+
+void ClientServer::beginAccepting() {
+  open_ = true;
   accept();
 }
 
@@ -271,7 +281,7 @@
 bool ClientServer::hasRoom() const { return connections_.size() < limits_.connections || oldestIdle(); }
 
 void ClientServer::accept() {
-  if (accepting_ || !hasRoom()) return;
+  if (!open_ || accepting_ || !hasRoom()) return;
   if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
   if (!acceptor_.is_open()) return;
   accepting_ = true;
@@ -320,8 +330,9 @@
 }
 
 void ClientServer::stopAccepting() {
+  open_ = false;
   if (waiting_) add(*std::exchange(waiting_, std::nullopt));
-  for (;;) {
+  while (config_.acceptFd < 0) {
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
@@ -331,6 +342,9 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
+}
+
+void ClientServer::finishUp() {
   for (const auto& connection : std::vector(connections_.begin(), connections_.end())) connection->finishUp();
 }
 
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -70,6 +70,8 @@
   ClientServer& operator=(const ClientServer&) = delete;
 
   void start();  // throws std::runtime_error if it cannot listen
+  // Where the platform holds the listening socket: from `start` on connections wait there until this.
+  void beginAccepting();
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   std::size_t connections() const { return connections_.size(); }
@@ -77,8 +79,11 @@
 
   // From here on every answer ends its connection.
   void beginDrain() { draining_ = true; }
-  // Takes what the machine has accepted already, then no more; connections without a request are closed.
+  // No more connections. Of its own socket it takes what the machine has accepted already; one that the
+  // platform holds goes on listening, and what waits there is the next process's.
   void stopAccepting();
+  // Closes the connections without a request.
+  void finishUp();
   // Called as soon as no connection is left.
   void whenEmpty(std::function<void()> done);
 
@@ -102,6 +107,7 @@
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
   Stats stats_;
+  bool open_ = false;       // connections may come in
   bool accepting_ = false;  // an accept is pending
   bool draining_ = false;
 };
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -78,6 +78,7 @@
   out.name = textOf(file, "name");
   out.listen = parseEndpoint(textOf(file, "listen"));
   out.discovery = parseEndpoint(textOf(file, "discovery"));
+  if (file.contains("ops") && !file["ops"].is_null()) out.ops = parseEndpoint(textOf(file, "ops"));
   if (file.contains("seed")) out.seed = parseSeed(textOf(file, "seed"));
   out.sockets = readSockets(file);
   if (file.contains("known")) out.known = file["known"].dump();
@@ -89,6 +90,17 @@
   return out;
 }
 
+// What only the environment tells.
+void addSurroundings(Config& config) {
+  if (const char* folder = std::getenv("TMPDIR")) config.stateDir = folder;
+  const char* inherited = std::getenv("BALANCER_ACCEPT_FD");
+  if (!inherited) return;
+  const std::string_view digits = inherited;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), config.acceptFd);
+  if (error != std::errc() || end != digits.data() + digits.size() || config.acceptFd < 0)
+    bad("BALANCER_ACCEPT_FD is not a descriptor");
+}
+
 void fromEnvironment(const char* variable, const char* key, json& file) {
   if (const char* value = std::getenv(variable)) file[key] = value;
 }
@@ -128,13 +140,17 @@
   fromEnvironment("BALANCER_NAME", "name", file);
   fromEnvironment("BALANCER_LISTEN", "listen", file);
   fromEnvironment("BALANCER_DISCOVERY", "discovery", file);
-  return fromJson(file);
+  fromEnvironment("BALANCER_OPS", "ops", file);
+  Config out = fromJson(file);
+  addSurroundings(out);
+  return out;
 }
 
 Config rereadConfig() {
   json file = configFile();
   fromEnvironment("BALANCER_NAME", "name", file);
   fromEnvironment("BALANCER_LISTEN", "listen", file);
+  fromEnvironment("BALANCER_OPS", "ops", file);
   return fromJson(file);
 }
 
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,10 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> ops;  // where operators call; nothing: nowhere
+  int acceptFd =
+      -1;  // the clients' listening socket where the platform holds it; below 0: listen at `listen`
+  std::string stateDir;  // what outlives the process in an upgrade lies here; empty: nothing does
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
   std::string known;        // the list of workers as last had, in discovery's form; may be old
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -102,6 +102,7 @@
   }
 
   Stats takeStats() { return std::exchange(stats_, {}); }
+  std::optional<std::chrono::steady_clock::time_point> answeredAt() const { return answeredAt_; }
 
   void stop() {
     stopped_ = true;
@@ -148,6 +149,7 @@
     if (error || (!done && in_.size() > kMostHeader) ||
         (parser_->is_header_done() && parser_->get().result() != http::status::ok))
       return again("odd answer");
+    if (!answeredAt_ && parser_->is_header_done()) answeredAt_ = std::chrono::steady_clock::now();
     line_ += parser_->get().body();
     parser_->get().body().clear();
     stats_.longestLine = std::max(stats_.longestLine, line_.size());
@@ -203,6 +205,7 @@
   std::chrono::milliseconds backoff_ = kBackoffFirst;
   std::string_view lastWhy_;
   Stats stats_;
+  std::optional<std::chrono::steady_clock::time_point> answeredAt_;
   unsigned round_ = 0;
   bool stopped_ = false;
 };
@@ -212,6 +215,9 @@
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
 Discovery::Stats Discovery::takeStats() { return watch_->takeStats(); }
+std::optional<std::chrono::steady_clock::time_point> Discovery::answeredAt() const {
+  return watch_->answeredAt();
+}
 void Discovery::moveTo(const tcp::endpoint& agent) { watch_->moveTo(agent); }
 void Discovery::stop() { watch_->stop(); }
 
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -3,8 +3,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +48,8 @@
     unsigned lists = 0;           // lines that told of workers
   };
   Stats takeStats();
+  // Since when an agent has answered; nothing: none has yet.
+  std::optional<std::chrono::steady_clock::time_point> answeredAt() const;
   void start();
   // Another agent from now on; it is asked for what has changed since the last version told.
   void moveTo(const boost::asio::ip::tcp::endpoint& agent);
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -19,32 +19,48 @@
 
 constexpr Time kWayBack =
     10;  // ms kept for the way back; measured within the program: 0.4 at the 99th percentile
-constexpr unsigned kSparedSockets = 24;   // descriptors for the listener, discovery, timers, standard streams
+constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
+constexpr unsigned kOpsSockets = 18;     // and for operators: their listener and callers
+// Shares of all descriptors in either process of an upgrade: clients hold at most a third of them, and the
+// two together stay under the limit.
+constexpr double kClientShare = 0.27, kWorkerShare = 0.13;
 constexpr double kIdleShare = 0.8;        // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;  // connections go on coming for up to 400 ms after SIGTERM
-constexpr auto kReportEvery = 5s;         // between two lines on what was done
-constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
+constexpr auto kIdleAfterTerm = 1200ms;  // in an upgrade: idle connections are closed, their clients go on to
+                                         // the new process
+constexpr auto kReportEvery = 5s;        // between two lines on what was done
+// The end may come at the longest deadline, counted as kDeadlineMost at most, and 700 ms after SIGTERM: what
+// is held at that deadline and kAnswerSlack is failed, and at kEndSlack the program ends.
+constexpr Time kDeadlineMost = 3000, kAnswerSlack = 400, kEndSlack = 550;
+constexpr auto kFollowEvery = 250ms;  // between looks at what the other process of an upgrade has excluded
+constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
+constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
+constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
+constexpr std::size_t kMostNamed = 8192;
 
 std::chrono::steady_clock::duration span(Time ms) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
       std::chrono::duration<double, std::milli>(ms));
 }
 
-std::size_t halfOfSockets(const Config& config) {
-  return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, kSparedSockets)) / 2);
+std::size_t shareOfSockets(const Config& config, double inUpgrade) {
+  if (config.acceptFd >= 0)
+    return std::max<std::size_t>(8, static_cast<std::size_t>(config.sockets * inUpgrade));
+  const unsigned spared = kSparedSockets + (config.ops ? kOpsSockets : 0);
+  return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, spared)) / 2);
 }
 
 WorkerPool::Limits poolLimits(const Config& config) {
   WorkerPool::Limits out;
   out.connectTimeout = std::chrono::milliseconds(std::lround(std::max(1.0, config.host.connectTimeout)));
   out.idleFor = std::chrono::milliseconds(std::lround(kIdleShare * config.host.idleTimeout));
-  out.total = halfOfSockets(config);
+  out.total = shareOfSockets(config, kWorkerShare);
   return out;
 }
 
 ClientServer::Limits serverLimits(const Config& config) {
   ClientServer::Limits out;
-  out.connections = halfOfSockets(config);
+  out.connections = shareOfSockets(config, kClientShare);
   return out;
 }
 
@@ -64,8 +80,15 @@
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
+      exclusions_(config.stateDir),
+      startedAt_(std::chrono::steady_clock::now()),
       drain_(io),
-      report_(io) {
+      report_(io),
+      follow_(io),
+      accept_(io) {
+  if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this));
+  for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
+  applyExclusions({});
   long long from = -1;
   if (!config_.known.empty()) {
     const Roster known = parseRoster(config_.known);
@@ -80,11 +103,84 @@
 Gatekeeper::~Gatekeeper() = default;
 
 void Gatekeeper::start() {
+  if (ops_) ops_->start(*config_.ops);
   server_.start();
   discovery_->start();
+  if (config_.acceptFd >= 0) acceptOnceReady();
+  if (!config_.stateDir.empty()) followExclusions();
   reportLater();
 }
 
+// --- From the operators ----------------------------------------------------------------------------------
+
+// The list is known, and no change of it is on its way; what was excluded was read before.
+bool Gatekeeper::readyToServe() const {
+  if (!ready_ || draining_) return false;
+  const auto now = std::chrono::steady_clock::now();
+  const auto answered = discovery_->answeredAt();
+  return lists_ > 0 || (answered && now - *answered > kFirstChange) || now - startedAt_ > kListWithin;
+}
+
+std::string Gatekeeper::telemetry() const {
+  const irisring::Census census = gateway_.census(clock_.now());
+  Metrics figures = metrics_;
+  figures.attempts = pool_.attemptsWritten();
+  return telemetryText(figures, {held_.size(), census.listed, census.avoided});
+}
+
+bool Gatekeeper::exclude(const std::string& id) {
+  if (!named_.contains(id) && !exclusions_.ids().contains(id)) return false;
+  const auto before = exclusions_.ids();
+  if (!exclusions_.add(id)) return false;
+  applyExclusions(before);
+  std::fprintf(stderr, "burlwind: excluded by hand: %s\n", id.c_str());
+  return true;
+}
+
+bool Gatekeeper::include(const std::string& id) {
+  const auto before = exclusions_.ids();
+  if (!named_.contains(id) && !before.contains(id)) return false;
+  exclusions_.remove(id);
+  applyExclusions(before);
+  std::fprintf(stderr, "burlwind: included by hand: %s\n", id.c_str());
+  return true;
+}
+
+void Gatekeeper::applyExclusions(const std::set<std::string>& before) {
+  const Time now = clock_.now();
+  for (const std::string& id : exclusions_.ids()) {
+    if (before.contains(id)) continue;
+    gateway_.exclude(now, numberOf(id));
+    pool_.quiet(numberOf(id));
+  }
+  for (const std::string& id : before)
+    if (!exclusions_.ids().contains(id)) gateway_.include(now, numberOf(id));
+}
+
+// The other process of an upgrade may be the one that operators call.
+void Gatekeeper::followExclusions() {
+  follow_.expires_after(kFollowEvery);
+  follow_.async_wait([this](const Error& error) {
+    if (error) return;
+    const auto before = exclusions_.ids();
+    if (exclusions_.refresh()) applyExclusions(before);
+    followExclusions();
+  });
+}
+
+void Gatekeeper::noteNamed(const std::string& id) {
+  if (named_.size() < kMostNamed || named_.contains(id)) named_.insert(id);
+}
+
+void Gatekeeper::acceptOnceReady() {
+  if (draining_) return;
+  if (readyToServe()) return server_.beginAccepting();
+  accept_.expires_after(kLookEvery);
+  accept_.async_wait([this](const Error& error) {
+    if (!error) acceptOnceReady();
+  });
+}
+
 // One line every few seconds with what on-call needs to tell causes apart: final answers, how attempts ended,
 // connections, and the largest buffers.
 void Gatekeeper::reportLater() {
@@ -116,21 +212,37 @@
 }
 
 void Gatekeeper::reload(const Config& config) {
+  ++metrics_.reconfigOk;
   discovery_->moveTo(config.discovery);
   std::fprintf(stderr, "burlwind: configuration read again\n");
 }
 
+// Where the platform holds the listening socket the next process accepts already; connections that this one
+// has are kept for a while, so that what their clients are sending is heard.
 void Gatekeeper::drain(std::function<void()> done) {
+  draining_ = true;
   server_.beginDrain();
-  drain_.expires_after(kAcceptAfterTerm);
-  drain_.async_wait([this, done = std::move(done)](const Error& error) {
+  const bool handedOn = config_.acceptFd >= 0;
+  if (handedOn) server_.stopAccepting();
+  Time longest = 0;
+  for (const auto& klass : config_.settings.classes) longest = std::max(longest, klass.deadline);
+  const auto term = std::chrono::steady_clock::now();
+  const Time end = std::min(longest, kDeadlineMost);
+  drain_.expires_at(term + (handedOn ? kIdleAfterTerm : kAcceptAfterTerm));
+  drain_.async_wait([this, term, end, handedOn, done = std::move(done)](const Error& error) {
     if (error) return;
-    server_.stopAccepting();
-    drain_.expires_after(kAnswerAfterTerm - kAcceptAfterTerm);
-    drain_.async_wait([this](const Error& late) {
-      if (!late) giveUpAll();
-    });
+    if (!handedOn) server_.stopAccepting();
+    server_.finishUp();
     server_.whenEmpty(done);
+    drain_.expires_at(term + span(end + kAnswerSlack));
+    drain_.async_wait([this, term, end, done](const Error& late) {
+      if (late) return;
+      giveUpAll();
+      drain_.expires_at(term + span(end + kEndSlack));
+      drain_.async_wait([done](const Error& stopped) {
+        if (!stopped) done();
+      });
+    });
   });
 }
 
@@ -140,6 +252,7 @@
                       const std::shared_ptr<Asker>& asker) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
+  held.counts = &metrics_.classes[config_.host.classes[call.klass]];
   held.message = std::move(message);
   held.asker = asker;
   held.expires = now + std::max(0.0, call.patience - kWayBack);
@@ -151,7 +264,10 @@
 }
 
 void Gatekeeper::left(RequestId id) {
-  if (held_.erase(id) == 0) return;
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  ++found->second.counts->failure;
+  held_.erase(found);
   gateway_.clientLeft(clock_.now(), id);
   if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
 }
@@ -189,6 +305,7 @@
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
     ++served_;
+    ++held_.at(outcome.id).counts->success;
     answer(outcome.id, served);
   }
   gateway_.outcome(clock_.now(), outcome);
@@ -213,6 +330,7 @@
   if (kind != ListKind::delta) unnamed = listed_;
   for (const Instance& instance : roster.instances) {
     members.push_back(memberOf(instance));
+    noteNamed(instance.id);
     const WorkerId worker = members.back().worker;
     unnamed.erase(worker);
     if (instance.phase == irisring::Phase::ready) {
@@ -227,6 +345,7 @@
     pool_.retire(worker);
   }
   gateway_.members(clock_.now(), kind, members);
+  if (kind != ListKind::cached) ++lists_;
   ready_ = ready_ || !listed_.empty();
 }
 
@@ -261,6 +380,7 @@
   refusal.body = "refused: try again later\n";
   refusal.retryAfter = retryAfter;
   ++refused_;
+  if (const auto found = held_.find(id); found != held_.end()) ++found->second.counts->busy;
   answer(id, refusal);
 }
 
@@ -269,6 +389,7 @@
   failure.status = http::status::bad_gateway;
   failure.body = "failed\n";
   ++failed_;
+  if (const auto found = held_.find(id); found != held_.end()) ++found->second.counts->failure;
   answer(id, failure);
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -13,6 +13,9 @@
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
+#include "node/exclusions.hpp"
+#include "node/metrics.hpp"
+#include "node/ops_server.hpp"
 #include "node/worker_pool.hpp"
 
 namespace burlwind {
@@ -32,7 +35,7 @@
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-class Gatekeeper : private irisring::Actions, private Holder {
+class Gatekeeper : private irisring::Actions, private Holder, private Operated {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
   ~Gatekeeper() override;
@@ -41,10 +44,13 @@
   // Takes over what may change while the program runs: the address of discovery. The rest stays as it was at
   // the start; the counter, whose address may change too, is not used.
   void reload(const Config& config);
+  // A changed configuration could not be taken: all stays as it was.
+  void reloadFailed() { ++metrics_.reconfigFailed; }
   // Goes on for a while, finishes what is held, then calls `done`.
   void drain(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  boost::asio::ip::tcp::endpoint opsAddress() const { return ops_->address(); }
   bool ready() const override { return ready_; }
   std::size_t held() const { return held_.size(); }
 
@@ -56,6 +62,7 @@
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
+    ClassCounts* counts = nullptr;
   };
 
   // Holder
@@ -64,6 +71,12 @@
             const std::shared_ptr<Asker>& asker) override;
   void left(irisring::RequestId id) override;
 
+  // Operated
+  bool readyToServe() const override;
+  std::string telemetry() const override;
+  bool exclude(const std::string& id) override;
+  bool include(const std::string& id) override;
+
   // Actions
   void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
   void refuse(irisring::RequestId id, irisring::Time retryAfter) override;
@@ -79,6 +92,10 @@
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, const Answer& answer);
+  void acceptOnceReady();
+  void followExclusions();
+  void applyExclusions(const std::set<std::string>& before);
+  void noteNamed(const std::string& id);
   void reportLater();
   void report();
   std::string attemptBytes(const Held& held, irisring::Time wait) const;
@@ -91,11 +108,18 @@
   std::unordered_set<irisring::WorkerId> listed_;
   std::unordered_map<irisring::RequestId, Held> held_;
   irisring::RequestId lastId_ = 0;
+  unsigned lists_ = 0;  // told by discovery
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
-  boost::asio::steady_timer drain_, report_;
+  Metrics metrics_;
+  Exclusions exclusions_;
+  std::unordered_set<std::string> named_;  // ids that lists have named, of which operators may speak
+  std::optional<OpsServer> ops_;
+  std::chrono::steady_clock::time_point startedAt_;
+  boost::asio::steady_timer drain_, report_, follow_, accept_;
   unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
   bool ready_ = false;
+  bool draining_ = false;
 };
 
 }  // namespace burlwind
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -39,6 +39,7 @@
       gatekeeper_.reload(burlwind::rereadConfig());
     } catch (const std::exception& wrong) {
       if (reads > 1) return again(reads - 1);
+      gatekeeper_.reloadFailed();
       std::fprintf(stderr, "burlwind: kept as it was: %s\n", wrong.what());
     }
   }
--- /dev/null
+++ b/src/node/metrics.hpp
@@ -0,0 +1,46 @@
+// The figures that operators fetch: counts from the start of the process.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace burlwind {
+
+struct ClassCounts {
+  std::uint64_t success = 0, busy = 0, failure = 0;  // final answers
+};
+
+// By the class's name: one that a reload drops keeps its counts.
+struct Metrics {
+  std::map<std::string, ClassCounts> classes;
+  std::uint64_t attempts = 0;  // written whole to workers
+  std::uint64_t reconfigOk = 0, reconfigFailed = 0;
+};
+
+struct Gauges {
+  std::size_t inFlight = 0;  // requests taken and not yet ended
+  std::size_t listed = 0, down = 0;
+};
+
+// In lines `svc.NAME:VALUE|c` (counts) and `|g` (as it is now), closed by a line EOF.
+inline std::string telemetryText(const Metrics& metrics, const Gauges& gauges) {
+  std::string out;
+  const auto line = [&](const std::string& name, std::uint64_t value, const char* kind) {
+    out += "svc." + name + ":" + std::to_string(value) + "|" + kind + "\n";
+  };
+  for (const auto& [name, counts] : metrics.classes) {
+    line("success." + name, counts.success, "c");
+    line("busy." + name, counts.busy, "c");
+    line("failure." + name, counts.failure, "c");
+  }
+  line("backend_calls", metrics.attempts, "c");
+  line("reconfig_ok", metrics.reconfigOk, "c");
+  line("reconfig_failed", metrics.reconfigFailed, "c");
+  line("inflight", gauges.inFlight, "g");
+  line("hosts_listed", gauges.listed, "g");
+  line("hosts_down", gauges.down, "g");
+  return out + "EOF\n";
+}
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/ops_server.cpp
@@ -0,0 +1,134 @@
+#include "node/ops_server.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace burlwind {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+using namespace std::chrono_literals;
+
+constexpr auto kAcceptPause = 50ms;  // after an accept that failed, for want of descriptors as a rule
+
+}  // namespace
+
+// One caller: its line, its answer, its end.
+class OpsServer::Caller : public std::enable_shared_from_this<Caller> {
+  template <class Handler>
+  auto guard(Handler handler) {
+    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
+      if (!closed_) handler(error, n);
+    };
+  }
+
+ public:
+  Caller(OpsServer& server, tcp::socket socket)
+      : server_(server),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor(), server.limits_.callWithin) {}
+
+  void start() {
+    timer_.async_wait(guard([this](const Error& error, std::size_t) {
+      if (!error) finish();
+    }));
+    asio::async_read_until(
+        socket_, asio::dynamic_buffer(line_, server_.limits_.line), '\n',
+        guard([this](const Error& error, std::size_t n) {
+          if (error == asio::error::not_found || (error == asio::error::eof && !line_.empty()))
+            return say("400 not a whole call\n");
+          if (error) return finish();
+          line_.resize(n - 1);
+          if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+          say(server_.answerTo(line_));
+        }));
+  }
+
+  // Ends it and tells nobody.
+  void abandon() {
+    closed_ = true;
+    timer_.cancel();
+    Error ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  void say(std::string text) {
+    out_ = std::move(text);
+    asio::async_write(socket_, asio::buffer(out_), guard([this](const Error&, std::size_t) { finish(); }));
+  }
+
+  void finish() {
+    const auto self = shared_from_this();
+    abandon();
+    server_.remove(self);
+  }
+
+  OpsServer& server_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::string line_, out_;
+  bool closed_ = false;
+};
+
+OpsServer::OpsServer(asio::io_context& io, const Limits& limits, Operated& operated)
+    : limits_(limits), operated_(operated), acceptor_(io), pause_(io) {}
+
+OpsServer::~OpsServer() {
+  for (const auto& caller : callers_) caller->abandon();
+}
+
+void OpsServer::start(const tcp::endpoint& at) {
+  try {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen();
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(std::string("cannot listen for operators: ") + error.what());
+  }
+  accept();
+}
+
+void OpsServer::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait([this](const Error& stopped) {
+        if (!stopped) accept();
+      });
+      return;
+    }
+    if (callers_.size() >= limits_.connections) {
+      callers_.front()->abandon();
+      callers_.pop_front();
+    }
+    callers_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
+    callers_.back()->start();
+    accept();
+  });
+}
+
+void OpsServer::remove(const std::shared_ptr<Caller>& caller) { std::erase(callers_, caller); }
+
+std::string OpsServer::answerTo(const std::string& line) {
+  if (line == "readyz") return operated_.readyToServe() ? "200 ready\n" : "400 not ready\n";
+  if (line == "telemetry") return operated_.telemetry();
+  const auto space = line.find(' ');
+  const std::string verb = line.substr(0, space);
+  const std::string id = space == std::string::npos ? "" : line.substr(space + 1);
+  if ((verb != "exclude" && verb != "include") || id.empty() || id.find_first_of(" \t") != std::string::npos)
+    return "400 no such call\n";
+  const bool known = verb == "exclude" ? operated_.exclude(id) : operated_.include(id);
+  return known ? "200 " + verb + "d " + id + "\n" : "400 no list has named " + id + "\n";
+}
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/ops_server.hpp
@@ -0,0 +1,56 @@
+// Where operators call: a line a connection, apart from the clients' side, so that neither load nor callers
+// that stay silent delay an answer.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace burlwind {
+
+// What carries the calls out.
+class Operated {
+ public:
+  virtual ~Operated() = default;
+  virtual bool readyToServe() const = 0;
+  virtual std::string telemetry() const = 0;
+  // Both are false for an id that no list has ever named. Repeating either changes nothing.
+  virtual bool exclude(const std::string& id) = 0;
+  virtual bool include(const std::string& id) = 0;
+};
+
+class OpsServer {
+ public:
+  struct Limits {
+    std::size_t connections = 16;  // the oldest gives way
+    std::size_t line = 512;        // bytes of a call
+    std::chrono::milliseconds callWithin{5000};
+  };
+
+  OpsServer(boost::asio::io_context& io, const Limits& limits, Operated& operated);
+  ~OpsServer();
+  OpsServer(const OpsServer&) = delete;
+  OpsServer& operator=(const OpsServer&) = delete;
+
+  void start(const boost::asio::ip::tcp::endpoint& at);  // throws std::runtime_error if it cannot listen
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Caller;
+
+  void accept();
+  void remove(const std::shared_ptr<Caller>& caller);
+  std::string answerTo(const std::string& line);
+
+  const Limits limits_;
+  Operated& operated_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::deque<std::shared_ptr<Caller>> callers_;  // the oldest first
+};
+
+}  // namespace burlwind
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -164,6 +164,7 @@
                         if (!busy_) return;
                         if (error) return end(Result::connectFailed);
                         written_ = true;
+                        ++pool_.written_;
                       }));
   }
 
@@ -290,6 +291,11 @@
   closeIdle(found->second);
 }
 
+void WorkerPool::quiet(WorkerId id) {
+  const auto found = workers_.find(id);
+  if (found != workers_.end()) closeIdle(found->second);
+}
+
 void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, std::string bytes,
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -65,6 +65,10 @@
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
+  // Closes what stands idle at this worker.
+  void quiet(irisring::WorkerId id);
+  // Attempts written whole since the start.
+  std::uint64_t attemptsWritten() const { return written_; }
   std::size_t connections() const { return total_; }
   Stats takeStats() { return std::exchange(stats_, {}); }
 
@@ -93,6 +97,7 @@
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
+  std::uint64_t written_ = 0;
   Stats stats_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -161,6 +161,36 @@
   EXPECT_GT(in, 0);
 }
 
+// A ban by hand is apart from the list and from health: neither ends it, and a restart under it is a cold
+// start.
+TEST(ByHand, NothingNewUntilLetInAndThenAsACold) {
+  Bench b(settings(), 50000);
+  b.list({member(1), member(2)});
+  b.gateway.exclude(b.now, 1);
+  b.list({member(1), member(2)});
+  for (CustomerId c = 0; c < 40; ++c) {
+    const RequestId id = b.ask(0, 0, c);
+    ASSERT_TRUE(b.wasSent(id));
+    EXPECT_EQ(b.lastWorker(), 2u);
+    b.end(id, Result::ok);
+  }
+  EXPECT_EQ(b.gateway.census(b.now).listed, 2u);
+  EXPECT_EQ(b.gateway.census(b.now).avoided, 1u);
+  b.gateway.exclude(b.now, 1);
+  b.gateway.include(b.now, 1);
+  EXPECT_EQ(b.gateway.census(b.now).avoided, 0u);
+  unsigned sent = 0;
+  for (int i = 0; i < 200; ++i) {  // 5 s
+    b.now += 25;
+    const RequestId id = b.ask(0, 0, 1000 + static_cast<CustomerId>(i));
+    if (!b.wasSent(id)) continue;
+    sent += b.lastWorker() == 1;
+    b.end(id, Result::ok);
+  }
+  EXPECT_GT(sent, 0u);
+  EXPECT_LT(sent, 80u);  // a warm one as idle as the other would have half
+}
+
 // Memory over a long stream of new customers, with answers that never come but end by their time-outs.
 TEST(Memory, StaysBoundedOverALongStreamOfNewCustomers) {
   Bench b;
