--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -23,6 +23,7 @@
 enum class Result { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
 
 struct ClassSettings {
+  std::string name;   // tells a class apart over changed settings
   Time aim = 0;       // an answer within this earns full worth
   Time deadline = 0;  // what a client waits in all
   Repeat repeat = Repeat::unsafe;
@@ -33,6 +34,7 @@
 };
 
 struct PlanSettings {
+  std::string name;
   double rate = 0;  // units a second over all gateways; 0: no quota on the rate
   double burst = 0;
   unsigned openLimit = 0;  // attempts out at once over all gateways; 0: no such cap
@@ -130,6 +132,9 @@
   void outcome(Time now, const Outcome& outcome);
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
+  // Changed settings, from the next request on: an open one keeps its class, and may lose attempts but gain
+  // none. Throws as the constructor does, and then nothing has changed.
+  void settings(Time now, const Settings& settings);
   // By hand: nothing new to this worker, listed or not, until it is let in again, and then as a cold one.
   void exclude(Time now, WorkerId worker);
   void include(Time now, WorkerId worker);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <unordered_map>
@@ -166,8 +167,17 @@
   Time backAt = 0;  // let in again by hand: cold from then on, whatever the list says of its start
 };
 
+// A class with what was learned of it. Open requests keep theirs when the settings change.
+struct Profile {
+  ClassSettings told;
+  Time base = 0, baseAt = 0;  // usual latency
+};
+using ProfilePtr = std::shared_ptr<Profile>;
+
 struct Held {
   Request ask;
+  ProfilePtr klass;
+  unsigned most = 0;  // attempts that the settings grant
   Time arrived = 0;
   unsigned attempts = 0;
   bool out = false;         // an attempt is under way
@@ -204,23 +214,9 @@
         bucketSince_(now),
         ceilingSince_(now),
         summaryAt_(now) {
-    require(set_.gateways >= 1 && set_.self < set_.gateways, "gateway number out of range");
-    require(!set_.classes.empty(), "no classes");
-    require(!set_.plans.empty(), "no plans");
-    require(sane(set_.meterPeriod) && sane(set_.warmUp) && sane(set_.drainGrace) &&
-                sane(set_.maxRetryAfter) && sane(set_.coldFrom) && sane(set_.fallMultiple) &&
-                sane(set_.fallSpan) && sane(set_.mostUnits) && sane(set_.crossZonePrice) &&
-                sane(set_.askWithin),
-            "a figure is negative or not finite");
-    for (const auto& c : set_.classes)
-      require(sane(c.aim) && sane(c.deadline) && sane(c.window) && sane(c.worth) && sane(c.lateWorth),
-              "a class's figure is negative or not finite");
-    for (const auto& p : set_.plans)
-      require(sane(p.rate) && sane(p.burst) && sane(p.ceilingRate) && sane(p.ceilingBurst) &&
-                  sane(p.ceilingSlack) && sane(p.price) && sane(p.overWorth) && sane(p.overCost),
-              "a plan's figure is negative or not finite");
-    base_.resize(set_.classes.size(), 0);
-    baseAt_.resize(set_.classes.size(), now);
+    check(set_);
+    for (const ClassSettings& told : set_.classes)
+      classes_.push_back(std::make_shared<Profile>(Profile{told, 0, now}));
     if (set_.askDiscovery) actions_.subscribe();
   }
 
@@ -228,7 +224,7 @@
 
   void request(Time now, const Request& ask) {
     if (held_.contains(ask.id)) return;
-    if (ask.klass >= set_.classes.size() || ask.plan >= set_.plans.size() || !std::isfinite(ask.units) ||
+    if (ask.klass >= classes_.size() || ask.plan >= set_.plans.size() || !std::isfinite(ask.units) ||
         !std::isfinite(ask.expires)) {
       actions_.refuse(ask.id, kRetryAfter);
       return;
@@ -238,6 +234,8 @@
     if (const auto wait = admit(customer, ask)) return refuse(ask.id, *wait);
     Held held;
     held.ask = ask;
+    held.klass = classes_[ask.klass];
+    held.most = set_.maxAttempts;
     held.arrived = now;
     Worker* worker = pick(now, held);
     pressed_ = std::min(kPressedMost, toward(pressed_, worker ? 0 : 1, now - pressedAt_, kPressedTau));
@@ -255,7 +253,7 @@
     const auto worker = find(end.worker);
     const auto sent = out_.find(outKey(end.id, end.attempt));
     if (sent == out_.end()) return;  // repeated or unknown
-    const Flight flight = sent->second;
+    const Flight flight = std::move(sent->second);
     out_.erase(sent);
     Customer* customer = peek(flight.customer);
     if (customer && customer->open > 0) noteOpen(*customer, now, -1);
@@ -313,6 +311,40 @@
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
   }
 
+  void settings(Time now, const Settings& to) {
+    check(to);
+    std::vector<ProfilePtr> classes;
+    for (const ClassSettings& told : to.classes) {
+      classes.push_back(std::make_shared<Profile>(Profile{told, 0, now}));
+      for (const ProfilePtr& old : classes_)
+        if (old->told.name == told.name)
+          classes.back()->base = old->base, classes.back()->baseAt = old->baseAt;
+    }
+    classes_ = std::move(classes);
+    for (auto& [id, held] : held_) held.most = std::min(held.most, to.maxAttempts);
+    movePlans(now, to);
+    set_ = to;
+  }
+
+  // Customers follow their plan's name. Those of a dropped plan are forgotten, as all are where the metered
+  // period changes, since their use is kept by its quarters.
+  void movePlans(Time now, const Settings& to) {
+    for (auto it = table_.begin(); it != table_.end();) {
+      fill(*it, now);
+      const std::string& name = set_.plans[it->plan].name;
+      const auto found = std::find_if(to.plans.begin(), to.plans.end(),
+                                      [&](const PlanSettings& plan) { return plan.name == name; });
+      if (found != to.plans.end() && to.meterPeriod == set_.meterPeriod) {
+        it->plan = static_cast<unsigned>(found - to.plans.begin());
+        ++it;
+        continue;
+      }
+      index_.erase(it->id);
+      it = table_.erase(it);
+      bucketSince_ = ceilingSince_ = now;
+    }
+  }
+
   // Apart from the list and from health, so that no news of the worker ends it.
   void exclude(Time now, WorkerId id) { barred_.try_emplace(id, now); }
 
@@ -339,7 +371,8 @@
     for (const Worker& w : workers_) {
       if (w.listed.phase == Phase::gone) continue;
       ++out.listed;
-      out.avoided += w.listed.phase != Phase::ready || barred_.contains(w.listed.worker) || shunned(w, now);
+      out.avoided +=
+          w.listed.phase != Phase::ready || barred_.contains(w.listed.worker) || w.ejectedUntil > now;
     }
     return out;
   }
@@ -350,9 +383,26 @@
  private:
   static constexpr std::uint64_t kAskTag = ~std::uint64_t{0};
 
+  static void check(const Settings& set) {
+    require(set.gateways >= 1 && set.self < set.gateways, "gateway number out of range");
+    require(!set.classes.empty(), "no classes");
+    require(!set.plans.empty(), "no plans");
+    require(sane(set.meterPeriod) && sane(set.warmUp) && sane(set.drainGrace) && sane(set.maxRetryAfter) &&
+                sane(set.coldFrom) && sane(set.fallMultiple) && sane(set.fallSpan) && sane(set.mostUnits) &&
+                sane(set.crossZonePrice) && sane(set.askWithin),
+            "a figure is negative or not finite");
+    for (const auto& c : set.classes)
+      require(sane(c.aim) && sane(c.deadline) && sane(c.window) && sane(c.worth) && sane(c.lateWorth),
+              "a class's figure is negative or not finite");
+    for (const auto& p : set.plans)
+      require(sane(p.rate) && sane(p.burst) && sane(p.ceilingRate) && sane(p.ceilingBurst) &&
+                  sane(p.ceilingSlack) && sane(p.price) && sane(p.overWorth) && sane(p.overCost),
+              "a plan's figure is negative or not finite");
+  }
+
   struct Flight {  // one attempt under way
     CustomerId customer = 0;
-    unsigned klass = 0;
+    ProfilePtr klass;
   };
 
   static std::uint64_t outKey(RequestId id, unsigned attempt) {
@@ -495,11 +545,11 @@
       ++refusals_.bucket;
       return 1000 * (want - c.tokens) / plan.rate;
     }
-    if (plan.openLimit > 0 && c.open >= plan.openLimit) return usual(ask.klass);
+    if (plan.openLimit > 0 && c.open >= plan.openLimit) return usual(*classes_[ask.klass]);
     const double others = plan.rate > 0 ? c.meanOpen * (1 - share(c)) / share(c) : c.allOpen * (1 - share(c));
     const double chance = plan.openLimit > 0 ? chanceUnder(plan.openLimit - c.open, others) : 1;
     const bool crowded = chance * (1 + plan.overCost) < plan.overCost + pressed_;
-    if (crowded) return usual(ask.klass);
+    if (crowded) return usual(*classes_[ask.klass]);
     noteDemand(c, units, 0);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[static_cast<std::size_t>(c.slot % kSlots)] = empty ? c.fraction : 1;
@@ -648,8 +698,8 @@
     return nullptr;
   }
 
-  Time usual(unsigned klass) const {
-    return base_[klass] > 0 ? base_[klass] : set_.classes[klass].aim * kUsualOfAim;
+  static Time usual(const Profile& klass) {
+    return klass.base > 0 ? klass.base : klass.told.aim * kUsualOfAim;
   }
 
   double load(const Worker& w, Time now) const {
@@ -659,7 +709,10 @@
   // Attempts out and no answer for several usual latencies: cut off, paused or dead, whatever the list says.
   // Seen long before the time-outs; may hurt where a single attempt is very long, so it takes two.
   bool silent(const Worker& w, Time now) const {
-    return w.inFlight >= 2 && now - w.heardAt > kSilent * *std::max_element(base_.begin(), base_.end());
+    if (w.inFlight < 2) return false;
+    Time longest = 0;
+    for (const ProfilePtr& klass : classes_) longest = std::max(longest, klass->base);
+    return now - w.heardAt > kSilent * longest;
   }
 
   // Left alone as long as there is any other.
@@ -693,7 +746,7 @@
   }
 
   bool inGroup(const Held& held, const Worker& w) const {
-    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const ClassSettings& klass = held.klass->told;
     if (!held.mayHaveRun || klass.repeat == Repeat::safe || klass.scope == Scope::all) return true;
     return klass.scope == Scope::zone ? w.listed.zone == held.ranZone : w.listed.cell == held.ranCell;
   }
@@ -728,7 +781,8 @@
     if (fromWorker(end.result)) w.heardAt = now;
     if (!end.report.empty()) noteReport(w, now, end.report);
     const Result result = end.result;
-    steerLimits(w, now, set_.classes[flight.klass].aim, end);
+    Profile& klass = *flight.klass;
+    steerLimits(w, now, klass.told.aim, end);
     if (result == Result::full) {
       w.fullFor = std::clamp(2 * w.fullFor, kFullPause, kFullMost);
       w.fullUntil = now + w.fullFor;
@@ -737,13 +791,12 @@
     if (result == Result::cancelled || result == Result::moot) return;
     if (result == Result::ok || result == Result::error || result == Result::timeout) {
       if (result == Result::ok) {
-        Time& base = base_[flight.klass];
-        base = base > 0
-                   ? toward(base, end.elapsed, std::min(kBaseSpan, now - baseAt_[flight.klass]), kBaseTau)
-                   : end.elapsed;
-        baseAt_[flight.klass] = now;
+        klass.base = klass.base > 0
+                         ? toward(klass.base, end.elapsed, std::min(kBaseSpan, now - klass.baseAt), kBaseTau)
+                         : end.elapsed;
+        klass.baseAt = now;
       }
-      const double ratio = std::min(kSlowMost, end.elapsed / usual(flight.klass));
+      const double ratio = std::min(kSlowMost, end.elapsed / usual(klass));
       if (result != Result::error && (result == Result::ok || ratio > slow(w))) noteSlow(w, now, ratio);
     }
     if (result == Result::ok) {
@@ -808,18 +861,18 @@
   // --- 4. Attempts and final answers --------------------------------------------------------------------
 
   void send(Time now, Held& held, Worker& worker) {
-    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const ClassSettings& klass = held.klass->told;
     const Time left = held.ask.expires - now;
     Time timeout = 0;
-    const bool last = held.attempts + 1 >= std::min(set_.maxAttempts, kMostAttempts);
+    const bool last = held.attempts + 1 >= std::min(held.most, kMostAttempts);
     if (klass.repeat != Repeat::unsafe && !last && budget_ >= 1) {
-      timeout = std::max(kPatience * usual(held.ask.klass), kPatienceOfAim * klass.aim);
+      timeout = std::max(kPatience * usual(*held.klass), kPatienceOfAim * klass.aim);
       if (timeout >= left) timeout = 0;
     }
     held.sentAt = now;
     held.out = true;
     held.tried.push_back(worker.listed.worker);
-    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
+    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.klass};
     ++held.attempts;
     ++inFlight_;
     notePeak(now);
@@ -831,9 +884,9 @@
 
   // Another attempt where the class and the time allow one, else the final answer.
   void again(Time now, Held& held) {
-    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const ClassSettings& klass = held.klass->told;
     const bool bound = held.mayHaveRun && klass.repeat != Repeat::safe;
-    if (held.attempts >= std::min(set_.maxAttempts, kMostAttempts) || now >= held.ask.expires ||
+    if (held.attempts >= std::min(held.most, kMostAttempts) || now >= held.ask.expires ||
         (bound && klass.repeat == Repeat::unsafe) || (bound && now > held.ranSince + klass.window) ||
         (held.mayHaveRun && budget_ < 1) || (klass.lateWorth <= 0 && now > held.arrived + klass.aim))
       return giveUp(now, held);
@@ -845,7 +898,7 @@
 
   // A refusal says that trying again is harmless; where that is not known the answer is a failure.
   void giveUp(Time, Held& held) {
-    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const ClassSettings& klass = held.klass->told;
     const RequestId id = held.ask.id;
     const bool harmless = !held.mayHaveRun || klass.repeat == Repeat::safe ||
                           (klass.repeat == Repeat::keyed && klass.scope == Scope::all);
@@ -891,7 +944,8 @@
     unsigned bucket = 0, store = 0, worker = 0, room = 0;
   };
 
-  const Settings set_;
+  Settings set_;
+  std::vector<ProfilePtr> classes_;
   Actions& actions_;
   Random random_;
   std::list<Customer> table_;  // least recent first
@@ -902,7 +956,6 @@
   std::unordered_map<WorkerId, Time> barred_;  // put out by hand, and since when
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
-  std::vector<Time> base_, baseAt_;  // usual latency of each class
   Time bucketSince_, ceilingSince_;
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double limit_ = 0;       // and how many may be
@@ -934,6 +987,7 @@
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
 void Gateway::exclude(Time now, WorkerId worker) { core_->exclude(now, worker); }
 void Gateway::include(Time now, WorkerId worker) { core_->include(now, worker); }
+void Gateway::settings(Time now, const Settings& settings) { core_->settings(now, settings); }
 Census Gateway::census(Time now) const { return core_->census(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
 namespace burlwind {
@@ -54,7 +55,7 @@
     if (!file.is_object()) bad("not a JSON object");
     return file;
   } catch (const json::exception& error) {
-    bad(std::string("not JSON: ") + error.what());
+    throw HalfWritten(std::string("configuration: not JSON: ") + error.what());
   }
 }
 
@@ -73,6 +74,54 @@
   return static_cast<unsigned>(std::min(value.get<double>(), 1e6));
 }
 
+// The paths of all keys. Objects in an array are alike: it has the keys that all of them have.
+std::set<std::string> keysOf(const json& value, const std::string& at = "") {
+  std::set<std::string> out;
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) {
+      const std::string path = at + "/" + key;
+      if (item.is_null()) continue;
+      out.insert(path);
+      if (path != "/known") out.merge(keysOf(item, path));
+    }
+  } else if (value.is_array()) {
+    for (const json& item : value) {
+      std::set<std::string> keys = keysOf(item, at + "/*");
+      if (&item == &value.front())
+        out = std::move(keys);
+      else
+        std::erase_if(out, [&](const std::string& key) { return !keys.contains(key); });
+    }
+  }
+  return out;
+}
+
+void requireAboveZero(const json& settings, const std::string& at) {
+  const json::json_pointer pointer(at);
+  if (!settings.contains(pointer) || !settings.at(pointer).is_number() ||
+      !(settings.at(pointer).get<double>() > 0))
+    bad("settings" + at + " is not a number above 0");
+}
+
+// What the rules rest on.
+void checkSettings(const json& settings) {
+  requireAboveZero(settings, "/permissions/attemptsCap");
+  if (!settings.contains("profiles") || !settings["profiles"].is_array() || settings["profiles"].empty())
+    bad("settings/profiles is missing");
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < settings["profiles"].size(); ++i) {
+    const std::string at = "/profiles/" + std::to_string(i);
+    requireAboveZero(settings, at + "/deadline");
+    for (const char* key : {"name", "repeat"}) {
+      const json::json_pointer pointer(at + "/" + key);
+      if (!settings.contains(pointer) || !settings.at(pointer).is_string())
+        bad("settings" + at + " has no " + key);
+    }
+    if (!names.insert(settings["profiles"][i]["name"].get<std::string>()).second)
+      bad("settings" + at + " has another's name");
+  }
+}
+
 Config fromJson(const json& file) {
   Config out;
   out.name = textOf(file, "name");
@@ -83,6 +132,9 @@
   out.sockets = readSockets(file);
   if (file.contains("known")) out.known = file["known"].dump();
   if (!file.contains("settings") || !file["settings"].is_object()) bad("settings is missing");
+  checkSettings(file["settings"]);
+  const auto keys = keysOf(file);
+  out.keys.assign(keys.begin(), keys.end());
   std::string lines;
   flatten(file["settings"], "", lines);
   out.settings = irisring::parseSettings(lines);
@@ -146,12 +198,19 @@
   return out;
 }
 
-Config rereadConfig() {
+void checkChange(const Config& before, const Config& after) {
+  for (const std::string& key : before.keys)
+    if (!std::binary_search(after.keys.begin(), after.keys.end(), key)) bad(key.substr(1) + " is missing");
+}
+
+Config rereadConfig(const Config& before) {
   json file = configFile();
   fromEnvironment("BALANCER_NAME", "name", file);
   fromEnvironment("BALANCER_LISTEN", "listen", file);
   fromEnvironment("BALANCER_OPS", "ops", file);
-  return fromJson(file);
+  Config out = fromJson(file);
+  checkChange(before, out);
+  return out;
 }
 
 }  // namespace burlwind
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -4,8 +4,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "settings.hpp"
 
@@ -24,13 +26,18 @@
   std::string known;        // the list of workers as last had, in discovery's form; may be old
   irisring::Settings settings;
   irisring::HostSettings host;
+  std::vector<std::string> keys;  // paths of all keys but those within `known`; a changed file has them all
 };
 
 // All throw std::runtime_error with one plain line on what is missing or malformed.
 Config readConfig();  // from BALANCER_CONFIG and the other variables, which go before the file
 // The file as it is by now: after a change of it the variables, which stay as they were at the start, are
-// old.
-Config rereadConfig();
+// old. It must have every key that `before` had, and throws HalfWritten where it is no JSON.
+Config rereadConfig(const Config& before);
+struct HalfWritten : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+void checkChange(const Config& before, const Config& after);
 Config parseConfig(std::string_view json);
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view hostPort);
 
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -36,7 +36,7 @@
 constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
 constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
 constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
-constexpr std::size_t kMostNamed = 8192;
+constexpr std::size_t kMostNamed = 8192, kMostClasses = 512;
 
 std::chrono::steady_clock::duration span(Time ms) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -212,6 +212,14 @@
 }
 
 void Gatekeeper::reload(const Config& config) {
+  gateway_.settings(clock_.now(), config.settings);
+  config_.settings = config.settings;
+  config_.host = config.host;
+  config_.keys = config.keys;
+  config_.discovery = config.discovery;
+  pool_.retune(poolLimits(config_), config_.settings.reportFields);
+  for (const std::string& name : config_.host.classes)
+    if (metrics_.classes.size() < kMostClasses) metrics_.classes.try_emplace(name);
   ++metrics_.reconfigOk;
   discovery_->moveTo(config.discovery);
   std::fprintf(stderr, "burlwind: configuration read again\n");
@@ -252,7 +260,8 @@
                       const std::shared_ptr<Asker>& asker) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
-  held.counts = &metrics_.classes[config_.host.classes[call.klass]];
+  const auto counts = metrics_.classes.find(config_.host.classes[call.klass]);
+  held.counts = counts == metrics_.classes.end() ? &uncounted_ : &counts->second;
   held.message = std::move(message);
   held.asker = asker;
   held.expires = now + std::max(0.0, call.patience - kWayBack);
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -41,9 +41,11 @@
   ~Gatekeeper() override;
 
   void start();
-  // Takes over what may change while the program runs: the address of discovery. The rest stays as it was at
-  // the start; the counter, whose address may change too, is not used.
+  // Takes over what may change while the program runs: the settings and the address of discovery. The rest
+  // stays as it was at the start; the counter, whose address may change too, is not used. Throws, and then
+  // nothing has changed, if the module cannot take the settings.
   void reload(const Config& config);
+  const Config& config() const { return config_; }
   // A changed configuration could not be taken: all stays as it was.
   void reloadFailed() { ++metrics_.reconfigFailed; }
   // Goes on for a while, finishes what is held, then calls `done`.
@@ -101,7 +103,7 @@
   std::string attemptBytes(const Held& held, irisring::Time wait) const;
 
   boost::asio::io_context& io_;
-  const Config config_;
+  Config config_;
   const ModuleClock clock_;
   WorkerPool pool_;
   ClientServer server_;
@@ -112,6 +114,7 @@
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
   Metrics metrics_;
+  ClassCounts uncounted_;  // of classes past the most that are counted
   Exclusions exclusions_;
   std::unordered_set<std::string> named_;  // ids that lists have named, of which operators may speak
   std::optional<OpsServer> ops_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <utility>
 
 #include "node/gatekeeper.hpp"
 
@@ -13,7 +14,7 @@
 
 using Error = boost::system::error_code;
 
-constexpr int kReadsOfAChange = 10;  // of a file that is not readable yet: it may be half written
+constexpr int kReadsOfAChange = 3;  // of a file that is no JSON yet: it may be half written
 constexpr auto kBetweenReads = std::chrono::milliseconds(100);
 
 // SIGHUP: reads the configuration again. One that cannot be read changes nothing and ends nothing.
@@ -28,6 +29,8 @@
   void wait() {
     signals_.async_wait([this](const Error& error, int) {
       if (error) return;
+      // The next change has come before the one before it could be read.
+      if (std::exchange(unread_, false)) gatekeeper_.reloadFailed();
       pause_.cancel();
       reload(kReadsOfAChange);
       wait();
@@ -36,15 +39,23 @@
 
   void reload(int reads) {
     try {
-      gatekeeper_.reload(burlwind::rereadConfig());
-    } catch (const std::exception& wrong) {
+      unread_ = false;
+      gatekeeper_.reload(burlwind::rereadConfig(gatekeeper_.config()));
+    } catch (const burlwind::HalfWritten& wrong) {
       if (reads > 1) return again(reads - 1);
-      gatekeeper_.reloadFailed();
-      std::fprintf(stderr, "burlwind: kept as it was: %s\n", wrong.what());
+      turnDown(wrong);
+    } catch (const std::exception& wrong) {
+      turnDown(wrong);
     }
   }
 
+  void turnDown(const std::exception& wrong) {
+    gatekeeper_.reloadFailed();
+    std::fprintf(stderr, "burlwind: kept as it was: %s\n", wrong.what());
+  }
+
   void again(int reads) {
+    unread_ = true;
     pause_.expires_after(kBetweenReads);
     pause_.async_wait([this, reads](const Error& error) {
       if (!error) reload(reads);
@@ -54,6 +65,7 @@
   burlwind::Gatekeeper& gatekeeper_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer pause_;
+  bool unread_ = false;  // a change that may be half written
 };
 
 int run() {
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -291,6 +291,11 @@
   closeIdle(found->second);
 }
 
+void WorkerPool::retune(const Limits& limits, std::vector<std::string> reportFields) {
+  limits_ = limits;
+  reportFields_ = std::move(reportFields);
+}
+
 void WorkerPool::quiet(WorkerId id) {
   const auto found = workers_.find(id);
   if (found != workers_.end()) closeIdle(found->second);
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -65,6 +65,8 @@
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
+  // Changed settings, from the next connection or answer on.
+  void retune(const Limits& limits, std::vector<std::string> reportFields);
   // Closes what stands idle at this worker.
   void quiet(irisring::WorkerId id);
   // Attempts written whole since the start.
@@ -91,8 +93,8 @@
   void count(irisring::Result result) { ++stats_.results[static_cast<std::size_t>(result)]; }
 
   boost::asio::io_context& io_;
-  const Limits limits_;
-  const std::vector<std::string> reportFields_;
+  Limits limits_;
+  std::vector<std::string> reportFields_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -72,6 +72,7 @@
 
 ClassSettings readClass(const Pairs& pairs, const std::string& at) {
   ClassSettings out;
+  read(pairs, at + "name", [&](std::string_view, std::string_view v) { out.name = v; });
   readNumber(pairs, at + "aim", out.aim);
   readNumber(pairs, at + "deadline", out.deadline);
   readNumber(pairs, at + "window", out.window);
@@ -102,6 +103,7 @@
 
 PlanSettings readPlan(const Pairs& pairs, const std::string& at) {
   PlanSettings out;
+  read(pairs, at + "name", [&](std::string_view, std::string_view v) { out.name = v; });
   readNumber(pairs, at + "unitsPerS", out.rate);
   readNumber(pairs, at + "depth", out.burst);
   readWhole(pairs, at + "atOnce", out.openLimit);
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -7,6 +7,31 @@
 namespace irisring::test {
 namespace {
 
+// An open request keeps its class over changed settings and may lose attempts; the next one has the new ones.
+TEST(ChangedSettings, BindTheNextRequest) {
+  Settings s = settings();
+  s.classes[0].name = "a", s.classes[2].name = "b";
+  Bench b(s);
+  b.list({member(1), member(2), member(3)});
+  const RequestId open = b.ask(0), capped = b.ask(0);
+  Settings next = s;
+  next.classes[0].repeat = Repeat::unsafe;
+  next.maxAttempts = 2;
+  b.gateway.settings(b.now, next);
+  b.end(open, Result::reset);
+  EXPECT_EQ(b.attempts(open), 2u);  // as safe as it came
+  b.end(capped, Result::connectFailed);
+  b.end(capped, Result::connectFailed);
+  EXPECT_EQ(b.attempts(capped), 2u);
+  const RequestId later = b.ask(0);
+  b.end(later, Result::reset);
+  EXPECT_TRUE(b.hasFailed(later));
+  next.maxAttempts = 4;
+  next.gateways = 0;
+  EXPECT_THROW(b.gateway.settings(b.now, next), std::invalid_argument);
+  EXPECT_TRUE(b.wasSent(b.ask(0)));
+}
+
 TEST(Attempts, UnsafeThatMayHaveRunFails) {
   for (const Result result : {Result::error, Result::timeout, Result::reset, Result::cancelled}) {
     Bench b;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -377,6 +377,34 @@
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
 }
 
+// A changed file is taken whole or not at all.
+TEST(Configuration, AChangeThatLacksAKeyOrHasAnOddLimitIsTurnedDown) {
+  const json good = configJson("127.0.0.1:1");
+  const Config before = parseConfig(good.dump());
+  checkChange(before, parseConfig(good.dump()));
+  const auto turnedDown = [&](const char* at, const json& value) {
+    json file = good;
+    if (value.is_discarded())
+      file.at(json::json_pointer(at).parent_pointer()).erase(json::json_pointer(at).back());
+    else
+      file[json::json_pointer(at)] = value;
+    EXPECT_THROW(checkChange(before, parseConfig(file.dump())), std::runtime_error) << at << " " << value;
+  };
+  const json gone(json::value_t::discarded);
+  for (const char* key :
+       {"/name", "/limits", "/seed", "/settings", "/settings/rules/warmUp", "/settings/profiles/1/aim",
+        "/settings/profiles/2/repeat", "/settings/profiles/0/name", "/settings/permissions"})
+    turnedDown(key, gone);
+  for (const char* key : {"/settings/profiles/1/deadline", "/settings/permissions/attemptsCap"})
+    for (const json& value :
+         {json(0), json(-5), json("6000"), json(nullptr), json(true), json::object(), gone})
+      turnedDown(key, value);
+  turnedDown("/settings/profiles/0/repeat", "sometimes");
+  const std::string text = good.dump();
+  EXPECT_THROW(parseConfig(text.substr(0, text.size() / 2)), HalfWritten);
+  EXPECT_THROW(parseConfig(""), HalfWritten);
+}
+
 TEST(Configuration, TheProgramEndsWithOneLineOnABadOne) {
   const std::string out = ::testing::TempDir() + "burlwind-bad-" + std::to_string(getpid());
   const std::string command =
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -154,6 +154,41 @@
   EXPECT_EQ(Exclusions(folder).ids().size(), 2u);
 }
 
+TEST_F(Ops, ChangedSettingsBindNewRequestsAndOpenOnesKeepTheirClass) {
+  open();
+  const auto old = ask("00000000000000a1", "order");  // unsafe: never sent again
+  untilSeen("00000000000000a1");
+  json file = configJson(discovery.text());
+  file["ops"] = "127.0.0.1:0";
+  json& classes = file["settings"]["profiles"];
+  classes.push_back(classes[2]);
+  classes[3]["name"] = "order-v2", classes[3]["repeat"] = "safe";
+  classes.erase(2);
+  classes.erase(0);
+  node->reload(parseConfig(file.dump()));
+  EXPECT_TRUE(shows("svc.reconfig_ok:1|c"));
+  EXPECT_TRUE(shows("svc.success.order-v2:0|c"));
+  const auto dropped = ask("00000000000000a2", "order");
+  until([&] { return dropped->has("HTTP/1.1 400"); }, "the dropped class is unknown");
+  Ask what;
+  what.id = "00000000000000a3";
+  std::string text = what.text();
+  text.replace(0, 9, "GET /order-v2");
+  const auto added = dial(node->address());
+  added->send(text);
+  untilSeen("00000000000000a3");
+  worker.peers.back()->end();  // safe by now: sent again
+  until([&] { return worker.count("Req-Id: 00000000000000a3") == 2; }, "another attempt");
+  worker.peers.back()->send(reply("200 OK", "new"));
+  until([&] { return added->has("new"); }, "the answer");
+  worker.peers.front()->end();
+  until([&] { return old->has("HTTP/1.1 502"); }, "the old request fails by its old class");
+  EXPECT_EQ(worker.count("Req-Id: 00000000000000a1"), 1u);
+  EXPECT_TRUE(shows("svc.failure.order:1|c"));
+  node->reloadFailed();
+  EXPECT_TRUE(shows("svc.reconfig_failed:1|c"));
+}
+
 // Two processes on one listening socket. The old one leaves it listening and unanswered connections to the
 // new one, and still hears what comes on the connections that it has.
 TEST_F(Ops, AnUpgradeTurnsNobodyBack) {
