Pass bodies and answers over 64 KiB on as they come, in small windows

Ruled out: broken answers from workers and resets (none in the log), and descriptors (57 of 1024). Bodies are timed by their pace (32 kB/s after 2 s, 1.5 s without a byte), 1xx answers are passed over, and only an orderly end closes an answer without a length.

--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -129,6 +129,8 @@
 
   void members(Time now, ListKind kind, const std::vector<Member>& list);
   void request(Time now, const Request& request);
+  // The last byte of a request that was asked for by its header: its time counts from now.
+  void whole(Time now, RequestId id, Time expires);
   void outcome(Time now, const Outcome& outcome);
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -280,6 +280,16 @@
     again(now, held);
   }
 
+  void whole(Time now, RequestId id, Time expires) {
+    const auto found = held_.find(id);
+    if (found == held_.end()) return;
+    Held& held = found->second;
+    held.ask.expires = expires;
+    held.arrived = held.sentAt = now;
+    // Until now the worker had nothing to answer.
+    if (Worker* worker = held.out ? find(held.tried.back()) : nullptr) worker->heardAt = now;
+  }
+
   void clientLeft(Time, RequestId id) { held_.erase(id); }
 
   void timer(Time now, std::uint64_t tag) {
@@ -983,6 +993,7 @@
 }
 void Gateway::request(Time now, const Request& request) { core_->request(now, request); }
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
+void Gateway::whole(Time now, RequestId id, Time expires) { core_->whole(now, id, expires); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
 void Gateway::exclude(Time now, WorkerId worker) { core_->exclude(now, worker); }
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -81,9 +81,19 @@
 
 }  // namespace
 
+// A target in absolute form names this service all the same.
+std::string_view originForm(std::string_view target) {
+  constexpr std::string_view scheme = "http://";
+  if (!beast::iequals(beast::string_view(target.data(), std::min(target.size(), scheme.size())),
+                      beast::string_view(scheme.data(), scheme.size())))
+    return target;
+  const auto slash = target.find('/', scheme.size());
+  return slash == std::string_view::npos ? "/" : target.substr(slash);
+}
+
 std::variant<Call, Rejection> readCall(const ClientMessage& message, const Config& config) {
   constexpr auto bad = http::status::bad_request;
-  std::string_view target = view(message.target());
+  std::string_view target = originForm(view(message.target()));
   const std::string_view path = cut(target, '?');
   if (path.size() < 2 || path.front() != '/') return Rejection{http::status::not_found, "no such path"};
   std::string_view rest = path.substr(1);
--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -1,6 +1,8 @@
 // A client's request, read and checked: what the module is asked, and what goes on to a worker.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <variant>
 
 #include "node/config.hpp"
@@ -8,7 +10,7 @@
 
 namespace burlwind {
 
-using ClientMessage = http::request<http::string_body>;
+using ClientMessage = http::request<WindowBody>;
 
 struct Call {
   unsigned klass = 0;
@@ -17,6 +19,8 @@
   irisring::Time patience = 0;  // how long the client waits from when it sent the request
   double units = 1;
   unsigned setSize = 1;
+  bool whole = true;                    // the body is all there; else its rest is pulled from the asker
+  std::optional<std::uint64_t> length;  // of a body that is not, where the client has stated it
 };
 
 struct Rejection {
@@ -24,6 +28,7 @@
   std::string_view why;
 };
 
+std::string_view originForm(std::string_view target);
 std::variant<Call, Rejection> readCall(const ClientMessage& message, const Config& config);
 
 }  // namespace burlwind
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -1,6 +1,7 @@
 #include "node/client_server.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <optional>
@@ -35,6 +36,20 @@
 
 // One client connection: one request at a time, in the order in which they come.
 class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
+  template <class Handler>
+  auto guard(Handler handler) {
+    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
+      if (state_ != State::closed) handler(error, n);
+    };
+  }
+
+  template <class Handler>
+  auto guard0(Handler handler) {
+    return [self = shared_from_this(), this, handler] {
+      if (state_ != State::closed) handler();
+    };
+  }
+
  public:
   Connection(ClientServer& server, tcp::socket socket)
       : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
@@ -55,16 +70,62 @@
     message.keep_alive(!last_);
     message.prepare_payload();
     state_ = State::answering;
+    pull_ = nullptr;
     append(out_, message);
     write();
   }
 
+  void begin(const AnswerHead& head) override {
+    if (state_ != State::held) return;
+    http::response<http::empty_body> message(http::status::ok, 11);
+    if (!head.contentType.empty()) message.set(http::field::content_type, head.contentType);
+    chunked_ = !head.length && version_ >= 11;
+    delimited_ = head.length || chunked_;
+    last_ = last_ || server_.draining_ || !delimited_;
+    message.keep_alive(!last_);
+    if (head.length) message.content_length(*head.length);
+    if (chunked_) message.chunked(true);
+    state_ = State::streaming;
+    pull_ = nullptr;
+    appendHead(out_, message);
+    write();
+  }
+
+  void pass(std::string&& piece, bool last, std::function<void()> room) override {
+    if (state_ != State::streaming) return;
+    if (chunked_)
+      appendChunk(out_, piece, last);
+    else if (out_.empty())
+      out_ = std::move(piece);
+    else
+      out_ += piece;
+    if (last) state_ = State::answering;
+    room_ = std::move(room);
+    if (!out_.empty()) return write();
+    if (writing_.empty()) asio::post(socket_.get_executor(), guard0([this] { written(); }));
+  }
+
+  // Without its end where it states one; else a reset tells.
+  void cut() override {
+    if (state_ != State::streaming) return;
+    Error ignored;
+    if (!delimited_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+  }
+
+  void pull(TakePiece take) override {
+    if (state_ != State::held) return;
+    pull_ = std::move(take);
+    sendContinue();
+    asio::post(socket_.get_executor(), guard0([this] { offer(); }));
+  }
+
   bool idle() const { return state_ == State::reading && !begun(); }
   Clock::time_point idleSince() const { return idleSince_; }
 
   void close() {
     if (state_ == State::closed) return;
-    const bool held = state_ == State::held;
+    const bool held = state_ == State::held || state_ == State::streaming;
     abandon();
     const auto self = shared_from_this();
     server_.remove(self);
@@ -74,6 +135,8 @@
   // Ends it and tells nobody.
   void abandon() {
     state_ = State::closed;
+    pull_ = nullptr;
+    room_ = nullptr;
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -83,18 +146,12 @@
   void finishUp() {
     Error error;
     if (idle() && socket_.available(error) == 0) return close();
-    if (state_ == State::reading) arm(kHalfSentAtStop);
+    if (state_ == State::reading && !parser_->is_header_done()) arm(kHalfSentAtStop);
   }
 
  private:
-  enum class State { reading, held, answering, lingering, closed };
-
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (state_ != State::closed) handler(error, n);
-    };
-  }
+  // Skipping: the answer is written, and the rest of the request's body is thrown away.
+  enum class State { reading, held, streaming, answering, skipping, lingering, closed };
 
   bool begun() const { return begun_ || in_.size() > 0; }
 
@@ -107,13 +164,22 @@
 
   void expire() {
     if (state_ == State::reading && begun()) return reject({http::status::request_timeout, "too slow"});
+    if (state_ == State::held && !bodyDone_) return tooSlow();
     if (state_ != State::held) close();
   }
 
+  // In the middle of a body that is passed on as it comes.
+  void tooSlow() {
+    server_.holder_.left(id_);
+    bodyDone_ = true;  // nothing more of it is waited for
+    reject({http::status::request_timeout, "too slow"});
+  }
+
   // Ready for the next request.
   void listen() {
     state_ = State::reading;
-    begun_ = false;
+    begun_ = continued_ = inBody_ = false;
+    bodyDone_ = true;
     idleSince_ = Clock::now();
     parser_.emplace();
     parser_->body_limit(kMostBody);
@@ -122,20 +188,76 @@
     server_.accept();
   }
 
-  // One read is pending in every state, so that the end of a client is seen while its request is held.
+  // One read is pending in every state, so that the end of a client is seen while its request is held; only
+  // where a body that is passed on waits for room none is.
   void read() {
+    if (reading_) return;
+    const bool awaited = !bodyDone_ && (state_ == State::reading || state_ == State::held);
+    if (!wantsMore()) {
+      if (awaited) timer_.cancel();
+      return;
+    }
     reading_ = true;
-    socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
+    readAt_ = Clock::now();
+    if (awaited) arm(server_.limits_.bodyGap);
+    socket_.async_read_some(in_.prepare(inBody_ ? kStreamStep : kReadStep),
+                            guard([this](const Error& error, std::size_t n) {
                               reading_ = false;
                               if (error) return close();
                               in_.commit(n);
                               if (state_ == State::lingering && !discard()) return;
-                              if (state_ == State::reading) parse();
-                              if (state_ != State::closed && in_.size() < kMostAhead) read();
+                              if (inBody_ && !bodyDone_ && !inTime(n)) return;
+                              go();
+                              if (state_ != State::closed) read();
                             }));
   }
 
+  bool wantsMore() const {
+    if (!bodyDone_ && state_ != State::reading) return parser_->get().body().size() < kStreamStep;
+    return in_.size() < kMostAhead;
+  }
+
+  // Whether a body comes fast enough: only the time counts in which more of it is waited for.
+  bool inTime(std::size_t n) {
+    bodyGot_ += static_cast<double>(n);
+    bodyWaited_ += Clock::now() - readAt_;
+    const std::chrono::duration<double, std::milli> late = bodyWaited_ - server_.limits_.bodyGrace;
+    const bool awaited = state_ == State::reading || state_ == State::held;
+    if (!awaited || bodyGot_ >= server_.limits_.bodyRate * late.count()) return true;
+    expire();
+    return false;
+  }
+
+  // With what has been read, as far as the state wants it.
+  void go() {
+    if (state_ == State::reading) return parse();
+    if (bodyDone_) return;
+    Error error;
+    bodyDone_ = feed(*parser_, in_, error);
+    if (error) {
+      if (state_ != State::held) return close();
+      server_.holder_.left(id_);
+      bodyDone_ = last_ = true;
+      return reject({statusOf(error), "malformed request"});
+    }
+    if (bodyDone_ && state_ != State::skipping) timer_.cancel();
+    if (state_ == State::held) return offer();
+    parser_->get().body().clear();
+    if (bodyDone_ && state_ == State::skipping) next();
+  }
+
+  // What has come of the body, to who waits for it.
+  void offer() {
+    if (!pull_) return;
+    std::string& body = parser_->get().body();
+    if (body.empty() && !bodyDone_) return read();
+    const auto take = std::exchange(pull_, nullptr);
+    take(std::exchange(body, {}), bodyDone_);
+    if (state_ != State::closed) read();
+  }
+
   void parse() {
+    if (!begun_) skipBlankLines();
     if (!begun_ && in_.size() > 0) {
       begun_ = true;
       if (!first_) arm(server_.limits_.wholeWithin);
@@ -144,25 +266,70 @@
     const bool done = feed(*parser_, in_, error);
     server_.stats_.mostBuffered = std::max(server_.stats_.mostBuffered, in_.size());
     if (error) {
-      last_ = true;
+      bodyDone_ = last_ = true;
       return reject({statusOf(error), "malformed request"});
     }
-    if (!done) return sendContinue();
-    timer_.cancel();
-    handle(parser_->release());
+    if (done) {
+      timer_.cancel();
+      version_ = parser_->get().version();
+      return handle(parser_->release());
+    }
+    if (!parser_->is_header_done()) return;
+    if (!inBody_) {
+      inBody_ = true;
+      bodyDone_ = false;
+      bodyGot_ = 0;
+      bodyWaited_ = {};
+    }
+    if (parser_->content_length().value_or(0) > kHeldWhole || parser_->get().body().size() > kHeldWhole)
+      return handleStream();
+    sendContinue();
+  }
+
+  // Some clients send an empty line behind a body.
+  void skipBlankLines() {
+    const auto* text = static_cast<const char*>(in_.data().data());
+    std::size_t n = 0;
+    while (n < in_.size() && (text[n] == '\r' || text[n] == '\n')) ++n;
+    in_.consume(n);
+  }
+
+  bool expects() const {
+    return beast::iequals(parser_->get()[http::field::expect], "100-continue") &&
+           parser_->get().version() >= 11;
   }
 
   void sendContinue() {
-    if (!parser_->is_header_done() || continued_) return;
+    if (bodyDone_ || continued_) return;
     continued_ = true;
-    if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
+    if (!expects()) return;
     http::response<http::empty_body> message(http::status::continue_, 11);
     append(out_, message);
     write();
   }
 
+  // A body too long to be held: judged by its header, and what has come of it goes along.
+  void handleStream() {
+    timer_.cancel();
+    first_ = false;
+    ClientMessage message(parser_->get().base());
+    message.body() = std::exchange(parser_->get().body(), {});
+    last_ = !parser_->keep_alive();
+    version_ = message.version();
+    auto call = readCall(message, server_.config_);
+    if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
+    Call& found = std::get<Call>(call);
+    found.whole = false;
+    if (const auto length = parser_->content_length()) found.length = *length;
+    state_ = State::held;
+    id_ = server_.holder_.nextId();
+    server_.holder_.take(id_, found, std::move(message), shared_from_this());
+  }
+
   void handle(ClientMessage&& message) {
-    first_ = continued_ = false;
+    first_ = false;
+    inBody_ = false;
+    bodyDone_ = true;
     last_ = !message.keep_alive();
     if (message.target() == "/health/ready") return sayReady(message.method());
     const auto call = readCall(message, server_.config_);
@@ -181,7 +348,8 @@
   // An answer from here: the request never reaches the holder.
   void reject(const Rejection& why) {
     server_.stats_.rejected += why.status != http::status::ok;
-    if (why.status == http::status::request_timeout) last_ = true;
+    if (why.status == http::status::request_timeout) bodyDone_ = last_ = true;
+    if (!bodyDone_ && !parser_->is_header_done()) bodyDone_ = true;
     state_ = State::held;
     Answer text;
     text.status = why.status;
@@ -190,9 +358,9 @@
   }
 
   void write() {
-    if (!writing_.empty()) return;
+    if (!writing_.empty() || out_.empty()) return;
     writing_.swap(out_);
-    if (state_ == State::answering) arm(server_.limits_.writeWithin);
+    if (state_ == State::answering || state_ == State::streaming) arm(server_.limits_.writeWithin);
     asio::async_write(socket_, asio::buffer(writing_), guard([this](const Error& error, std::size_t) {
                         if (error) return close();
                         written();
@@ -202,11 +370,27 @@
   void written() {
     writing_.clear();
     if (!out_.empty()) return write();
+    if (state_ == State::streaming) {
+      timer_.cancel();
+      if (const auto room = std::exchange(room_, nullptr)) room();
+      return;
+    }
     if (state_ != State::answering) return;
+    room_ = nullptr;
+    if (!bodyDone_ && !continued_ && expects()) bodyDone_ = last_ = true;  // the body will not come
+    if (bodyDone_) return next();
+    state_ = State::skipping;
+    arm(server_.limits_.skipWithin);
+    go();
+    if (state_ != State::closed) read();
+  }
+
+  // The exchange is over on both sides.
+  void next() {
     if (last_) return linger();
     listen();
     if (in_.size() > 0) parse();
-    if (state_ != State::closed && !reading_ && in_.size() < kMostAhead) read();
+    if (state_ != State::closed) read();
   }
 
   // The answer's end is told at once; the connection goes when the client has seen it, so that bytes that it
@@ -217,7 +401,7 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discarded_ = 0;
     arm(server_.limits_.lingerFor);
-    if (discard() && !reading_) read();
+    if (discard()) read();
   }
 
   // Somebody who sends without end is not worth the time that reading it takes.
@@ -233,7 +417,9 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer in_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<WindowBody>> parser_;
+  TakePiece pull_;              // waits for the next of the body
+  std::function<void()> room_;  // waits for the next piece of the answer to be written
   std::string out_, writing_;
   State state_ = State::reading;
   Clock::time_point idleSince_;
@@ -244,6 +430,13 @@
   bool continued_ = false;  // 100 Continue was considered
   bool last_ = false;       // the connection ends with the next answer
   bool reading_ = false;
+  bool inBody_ = false;                      // a header has come, and a body follows
+  bool bodyDone_ = true;                     // nothing more of the body is to come
+  bool chunked_ = false, delimited_ = true;  // the answer that is passed on
+  unsigned version_ = 11;
+  double bodyGot_ = 0;  // bytes
+  Clock::duration bodyWaited_{};
+  Clock::time_point readAt_;
 };
 
 ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Holder& holder)
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -24,12 +24,27 @@
   irisring::Time retryAfter = 0;  // ms; 0: no advice
 };
 
+// An answer that is passed on as it comes.
+struct AnswerHead {
+  std::string contentType;
+  std::optional<std::uint64_t> length;  // nothing: only its end tells
+};
+
 // The connection that a request came on, as its holder sees it.
 class Asker {
  public:
+  using TakePiece = std::function<void(std::string&& piece, bool last)>;
+
   virtual ~Asker() = default;
   // The final answer, once for each request held.
   virtual void answer(const Answer& answer) = 0;
+  // Or its head, then its pieces, each once `room` was called for the one before.
+  virtual void begin(const AnswerHead& head) = 0;
+  virtual void pass(std::string&& piece, bool last, std::function<void()> room) = 0;
+  // What was begun cannot be finished, and the client can tell.
+  virtual void cut() = 0;
+  // The next of a body that is not held whole, later; never, if the client leaves.
+  virtual void pull(TakePiece take) = 0;
 };
 
 // What takes the requests.
@@ -52,7 +67,12 @@
     std::chrono::milliseconds idleFor{75000};
     // A peer that sends no whole request is owed an error or a close within 3 s of connecting.
     std::chrono::milliseconds firstWithin{2500};  // a connection's first request, from its acceptance
-    std::chrono::milliseconds wholeWithin{2500};  // a later one, from its first byte
+    std::chrono::milliseconds wholeWithin{
+        2500};                                // a later one, from its first byte; both up to the header's end
+    std::chrono::milliseconds bodyGap{1500};  // between two pieces of a body
+    std::chrono::milliseconds bodyGrace{2000};    // then a body must have come at bodyRate
+    double bodyRate = 32;                         // bytes a ms; slow clients send 64
+    std::chrono::milliseconds skipWithin{10000};  // for the rest of a body that is answered already
     std::chrono::milliseconds writeWithin{10000};
     std::chrono::milliseconds lingerFor{1000};
     std::size_t lingerBytes = 256 * 1024;  // thrown away of what a peer goes on sending after its last answer
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -32,6 +32,7 @@
 // The end may come at the longest deadline, counted as kDeadlineMost at most, and 700 ms after SIGTERM: what
 // is held at that deadline and kAnswerSlack is failed, and at kEndSlack the program ends.
 constexpr Time kDeadlineMost = 3000, kAnswerSlack = 400, kEndSlack = 550;
+constexpr Time kMostUpload = 30 * 60 * 1000;  // past any time that the slowest client takes for a body
 constexpr auto kFollowEvery = 250ms;  // between looks at what the other process of an upgrade has excluded
 constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
 constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
@@ -86,6 +87,10 @@
       report_(io),
       follow_(io),
       accept_(io) {
+  pool_.streamTo({[this](RequestId id, const std::string& type, std::optional<std::uint64_t> length) {
+                    began(id, type, length);
+                  },
+                  [this](RequestId id, std::string&& piece) { passOn(id, std::move(piece)); }});
   if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this));
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
   applyExclusions({});
@@ -264,12 +269,40 @@
   held.counts = counts == metrics_.classes.end() ? &uncounted_ : &counts->second;
   held.message = std::move(message);
   held.asker = asker;
-  held.expires = now + std::max(0.0, call.patience - kWayBack);
-  held.deadline.expires_after(span(held.expires - now));
+  held.patience = std::max(0.0, call.patience - kWayBack);
+  held.streamed = !call.whole;
+  held.length = call.length;
+  // The time of one whose last byte is still to come has not begun; the clients' side bounds the wait for it.
+  held.expires = now + held.patience + (held.streamed ? kMostUpload : 0);
+  if (!held.streamed) setDeadline(id, held);
+  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+}
+
+void Gatekeeper::setDeadline(RequestId id, Held& held) {
+  held.deadline.expires_after(span(held.expires - clock_.now()));
   held.deadline.async_wait([this, id](const Error& error) {
     if (!error) expire(id);
   });
-  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+}
+
+void Gatekeeper::pull(RequestId id, AttemptBytes::Take take) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  found->second.pulled = true;
+  std::string().swap(found->second.message.body());
+  found->second.asker->pull([this, id, take = std::move(take)](std::string&& piece, bool last) {
+    const auto held = held_.find(id);
+    if (held == held_.end()) return;
+    if (last) becameWhole(id, held->second);
+    take(std::move(piece), last);
+  });
+}
+
+void Gatekeeper::becameWhole(RequestId id, Held& held) {
+  const Time now = clock_.now();
+  held.expires = now + held.patience;
+  setDeadline(id, held);
+  gateway_.whole(now, id, held.expires);
 }
 
 void Gatekeeper::left(RequestId id) {
@@ -284,7 +317,7 @@
 // The deadline: an attempt that is out has timed out. The answer goes out now, whatever the module says.
 void Gatekeeper::expire(RequestId id) {
   const auto found = held_.find(id);
-  if (found == held_.end()) return;
+  if (found == held_.end() || found->second.answering) return;
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     end->outcome.finished = false;
     gateway_.outcome(std::max(clock_.now(), found->second.expires), end->outcome);
@@ -295,8 +328,10 @@
 }
 
 void Gatekeeper::giveUpAll() {
-  while (!held_.empty()) {
-    const RequestId id = held_.begin()->first;
+  std::vector<RequestId> ids;
+  for (const auto& [id, held] : held_)
+    if (!held.answering) ids.push_back(id);  // what has begun goes on to the end
+  for (const RequestId id : ids) {
     fail(id);
     gateway_.clientLeft(clock_.now(), id);
     if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
@@ -309,7 +344,9 @@
   Outcome& outcome = end.outcome;
   const bool mine = held_.contains(outcome.id);
   outcome.finished = !mine || outcome.result == Result::ok;
-  if (mine && outcome.result == Result::ok) {
+  if (mine && held_.at(outcome.id).answering) {
+    finishStream(end);
+  } else if (mine && outcome.result == Result::ok) {
     Answer served;
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
@@ -320,6 +357,36 @@
   gateway_.outcome(clock_.now(), outcome);
 }
 
+void Gatekeeper::began(RequestId id, const std::string& contentType, std::optional<std::uint64_t> length) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  found->second.answering = true;
+  found->second.deadline.cancel();
+  found->second.asker->begin({contentType, length});
+}
+
+void Gatekeeper::passOn(RequestId id, std::string&& piece) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  const auto asker = found->second.asker;
+  asker->pass(std::move(piece), false, [this, id] { pool_.resume(id); });
+}
+
+// The end of an answer that was passed on as it came, or what could be had of it.
+void Gatekeeper::finishStream(AttemptEnd& end) {
+  end.outcome.finished = true;
+  const auto found = held_.find(end.outcome.id);
+  const bool whole = end.outcome.result == Result::ok;
+  ++(whole ? served_ : failed_);
+  ++(whole ? found->second.counts->success : found->second.counts->failure);
+  const auto asker = std::move(found->second.asker);
+  held_.erase(found);
+  if (whole)
+    asker->pass(std::move(end.body), true, nullptr);
+  else
+    asker->cut();
+}
+
 // --- From discovery --------------------------------------------------------------------------------------
 
 Member Gatekeeper::memberOf(const Instance& instance) const {
@@ -366,14 +433,15 @@
   if (found == held_.end()) return;
   Held& held = found->second;
   const Time left = held.expires - clock_.now();
-  if (left <= 0) return reportMoot(id, held.attempts++, worker);
+  if (left <= 0 || held.pulled) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
   const Time wait = early ? timeout : left;
-  pool_.start(id, held.attempts++, worker, attemptBytes(held, wait),
+  pool_.start(id, held.attempts++, worker, attemptBytes(id, held, held.streamed ? held.patience : wait),
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
-// No time is left for the attempt: nothing is sent, and the module learns so from a handler of its own.
+// No time is left for the attempt, or its body is gone: nothing is sent, and the module learns so from a
+// handler of its own.
 void Gatekeeper::reportMoot(RequestId id, unsigned attempt, WorkerId worker) {
   AttemptEnd end;
   end.outcome.id = id;
@@ -422,17 +490,36 @@
 }
 
 // The client's request with the time that is left; what concerns only the client's connection stays behind.
-std::string Gatekeeper::attemptBytes(const Held& held, Time wait) const {
-  ClientMessage message = held.message;
+AttemptBytes Gatekeeper::attemptBytes(RequestId id, Held& held, Time wait) {
+  http::request<http::empty_body> head(held.message.base());
   for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
                            http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
-                           http::field::expect, http::field::proxy_connection})
-    message.erase(field);
-  message.version(11);
-  message.set("Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait)))));
-  message.prepare_payload();
-  std::string out;
-  append(out, message);
+                           http::field::expect, http::field::proxy_connection, http::field::content_length})
+    head.erase(field);
+  head.version(11);
+  const std::string_view target = view(held.message.target());
+  if (const auto origin = originForm(target); origin.size() != target.size())
+    head.target(std::string(origin));
+  head.set("Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait)))));
+  const std::string& body = held.message.body();
+  AttemptBytes out;
+  if (!held.streamed) {
+    if (!body.empty() || head.method() != http::verb::get) head.content_length(body.size());
+    appendHead(out.bytes, head);
+    out.bytes += body;
+    return out;
+  }
+  out.chunked = !held.length;
+  if (held.length)
+    head.content_length(*held.length);
+  else
+    head.chunked(true);
+  appendHead(out.bytes, head);
+  if (out.chunked)
+    appendChunk(out.bytes, body, false);
+  else
+    out.bytes += body;
+  out.pull = [this, id](AttemptBytes::Take take) { pull(id, std::move(take)); };
   return out;
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -65,6 +65,11 @@
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
     ClassCounts* counts = nullptr;
+    irisring::Time patience = 0;
+    std::optional<std::uint64_t> length;  // stated, of a body that is not held whole
+    bool streamed = false;                // the body is not held whole
+    bool pulled = false;                  // and what is held is no more its beginning and all that has come
+    bool answering = false;               // the answer has begun to be passed on
   };
 
   // Holder
@@ -100,7 +105,13 @@
   void noteNamed(const std::string& id);
   void reportLater();
   void report();
-  std::string attemptBytes(const Held& held, irisring::Time wait) const;
+  AttemptBytes attemptBytes(irisring::RequestId id, Held& held, irisring::Time wait);
+  void pull(irisring::RequestId id, AttemptBytes::Take take);
+  void becameWhole(irisring::RequestId id, Held& held);
+  void setDeadline(irisring::RequestId id, Held& held);
+  void began(irisring::RequestId id, const std::string& contentType, std::optional<std::uint64_t> length);
+  void passOn(irisring::RequestId id, std::string&& piece);
+  void finishStream(AttemptEnd& end);
 
   boost::asio::io_context& io_;
   Config config_;
--- a/src/node/http.hpp
+++ b/src/node/http.hpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,12 +20,40 @@
 namespace http = boost::beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostBody = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t kHeldWhole = 64 * 1024;  // a longer body or answer is passed on as it comes
 constexpr std::size_t kMostHeader = 16 * 1024;
 constexpr std::size_t kReadStep = 4096;
+constexpr std::size_t kStreamStep = 16 * 1024;  // of what is passed on as it comes
 
 inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
+// A body as far as it has come and has not been taken away: whatever length the header states, nothing is
+// allocated ahead.
+struct WindowBody {
+  using value_type = std::string;
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    reader(http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&, Error& error) { error = {}; }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, Error& error) {
+      error = {};
+      std::size_t size = 0;
+      for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(part.data()), part.size());
+        size += part.size();
+      }
+      return size;
+    }
+    void finish(Error& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 // Feeds what has been read; true once the message is whole. What follows it stays in the buffer.
 // A step at a time, never eagerly: an eager parser goes on to body bytes that came with the header and
 // forgets that the header had failed its limit.
@@ -58,4 +88,32 @@
   }
 }
 
+// The header alone; the body follows by itself, framed as the header says.
+template <bool isRequest>
+void appendHead(std::string& out, const http::message<isRequest, http::empty_body>& message) {
+  http::serializer<isRequest, http::empty_body> serializer(message);
+  serializer.split(true);
+  Error error;
+  while (!serializer.is_header_done() && !error) {
+    std::size_t size = 0;
+    serializer.next(error, [&](Error&, const auto& buffers) {
+      for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
+        out.append(static_cast<const char*>(part.data()), part.size());
+        size += part.size();
+      }
+    });
+    serializer.consume(size);
+  }
+}
+
+// A piece of a body framed as a chunk; the last one, which may be empty, with the end.
+inline void appendChunk(std::string& out, std::string_view piece, bool last) {
+  if (!piece.empty()) {
+    char size[20];
+    const auto end = std::to_chars(size, size + sizeof size, piece.size(), 16).ptr;
+    out.append(size, end).append("\r\n").append(piece).append("\r\n");
+  }
+  if (last) out += "0\r\n\r\n";
+}
+
 }  // namespace burlwind
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -39,7 +39,7 @@
   return found == fields.size() && found > 0 ? out : std::vector<double>{};
 }
 
-Result resultOf(const http::response<http::string_body>& answer) {
+Result resultOf(const http::response<WindowBody>& answer) {
   if (answer.result() == http::status::ok) return Result::ok;
   const bool busy = answer.result() == http::status::service_unavailable ||
                     answer.result() == http::status::gateway_timeout;
@@ -64,19 +64,20 @@
   const tcp::endpoint address;
   const double openedAtMs;
 
-  void begin(RequestId id, unsigned attempt, std::string bytes, std::optional<Clock::duration> timeout) {
+  void begin(RequestId id, unsigned attempt, AttemptBytes bytes, std::optional<Clock::duration> timeout) {
     outcome_ = Outcome{};
     outcome_.id = id;
     outcome_.attempt = attempt;
     outcome_.worker = worker;
     startedAt_ = Clock::now();
-    giveUpAt_ = timeout ? startedAt_ + *timeout : Clock::time_point::max();
-    out_ = std::move(bytes);
-    written_ = false;
+    timeout_ = timeout;
+    out_ = std::move(bytes.bytes);
+    pull_ = std::move(bytes.pull);
+    chunked_ = bytes.chunked;
+    giveUpAt_ = timeout && !pull_ ? startedAt_ + *timeout : Clock::time_point::max();
+    written_ = streaming_ = false;
     busy_ = true;
-    parser_.emplace();
-    parser_->body_limit(kMostBody);
-    parser_->header_limit(kMostHeader);
+    freshParser();
     if (up_)
       write();
     else
@@ -92,6 +93,12 @@
     return outcome_;
   }
 
+  // There is room for the next piece of the answer.
+  void resume() {
+    if (closed_ || !busy_ || !streaming_ || reading_) return;
+    read();
+  }
+
   bool busy() const { return busy_; }
   RequestId request() const { return outcome_.id; }
 
@@ -111,6 +118,7 @@
 
   void close() {
     closed_ = true;
+    pull_ = nullptr;
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -124,6 +132,12 @@
     };
   }
 
+  void freshParser() {
+    parser_.emplace();
+    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMostHeader);
+  }
+
   void stamp() {
     outcome_.elapsed = std::chrono::duration<double, std::milli>(Clock::now() - startedAt_).count();
   }
@@ -140,7 +154,9 @@
   }
 
   void expire() {
-    if (busy_)
+    if (busy_ && (streaming_ || pull_))
+      end(Result::reset);
+    else if (busy_)
       end(up_ ? Result::timeout : Result::connectFailed);
     else
       pool_.drop(*this);
@@ -159,26 +175,62 @@
   }
 
   void write() {
-    arm(giveUpAt_);
-    asio::async_write(socket_, asio::buffer(out_), guard([this](const Error& error, std::size_t) {
-                        if (!busy_) return;
+    arm(pull_ ? Clock::now() + pool_.limits_.silentFor : giveUpAt_);
+    asio::async_write(socket_, asio::buffer(out_),
+                      guard([this, id = outcome_.id](const Error& error, std::size_t) {
+                        if (!busy_ || outcome_.id != id) return;
                         if (error) return end(Result::connectFailed);
+                        if (pull_) return pull();
                         written_ = true;
                         ++pool_.written_;
                       }));
   }
 
+  // The next piece of a body that is passed on as it comes. Its client's pace is its client's matter, so no
+  // time runs here; the answer's time runs from the last byte.
+  void pull() {
+    timer_.cancel();
+    pull_([weak = weak_from_this(), id = outcome_.id](std::string&& piece, bool last) {
+      const auto self = weak.lock();
+      if (self && !self->closed_ && self->busy_ && self->outcome_.id == id)
+        self->pass(std::move(piece), last);
+    });
+  }
+
+  void pass(std::string&& piece, bool last) {
+    if (chunked_) {
+      out_.clear();
+      appendChunk(out_, piece, last);
+    } else {
+      out_ = std::move(piece);
+    }
+    if (last) {
+      pull_ = nullptr;
+      startedAt_ = Clock::now();
+      if (timeout_) giveUpAt_ = startedAt_ + *timeout_;
+    }
+    write();
+  }
+
   void read() {
-    socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
+    reading_ = true;
+    if (streaming_) arm(Clock::now() + pool_.limits_.silentFor);
+    socket_.async_read_some(in_.prepare(streaming_ ? kStreamStep : kReadStep),
+                            guard([this](const Error& error, std::size_t n) {
+                              reading_ = false;
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
-                              error ? broken() : take();
+                              error ? broken(error) : take();
                             }));
   }
 
   void take() {
     Error error;
-    const bool done = feed(*parser_, in_, error);
+    bool done = feed(*parser_, in_, error);
+    while (done && !error && interim()) {  // not the answer yet
+      freshParser();
+      done = feed(*parser_, in_, error);
+    }
     // A chunk's extension and the trailer count in neither of the parser's limits.
     if (!error && !done && in_.size() > kMostHeader) error = http::error::header_limit;
     pool_.stats_.mostBuffered = std::max(pool_.stats_.mostBuffered, in_.size());
@@ -186,27 +238,54 @@
       ++pool_.stats_.unreadable;
       return end(Result::error);
     }
-    if (done) return answered();
-    read();
+    if (!streaming_ && parser_->is_header_done() && tooLongToHold()) {
+      if (parser_->get().result() != http::status::ok) return answered(false);  // the rest is of no use
+      beginStream();
+    }
+    if (done) return answered(true);
+    if (!streaming_) return read();
+    std::string piece = std::exchange(parser_->get().body(), {});
+    if (piece.empty()) return read();
+    timer_.cancel();  // the client's pace is its own
+    pool_.streams_.piece(outcome_.id, std::move(piece));
+  }
+
+  bool interim() const {
+    const auto& answer = parser_->get();
+    return answer.result_int() < 200 && answer.result() != http::status::switching_protocols;
+  }
+
+  bool tooLongToHold() const {
+    return parser_->content_length().value_or(0) > kHeldWhole || parser_->get().body().size() > kHeldWhole;
+  }
+
+  void beginStream() {
+    streaming_ = true;
+    giveUpAt_ = Clock::time_point::max();
+    stamp();
+    std::optional<std::uint64_t> length;
+    if (const auto stated = parser_->content_length()) length = *stated;
+    pool_.streams_.began(outcome_.id, std::string(view(parser_->get()[http::field::content_type])), length);
   }
 
   // The worker has ended the connection; an answer that only this delimits is whole now.
-  void broken() {
+  void broken(const Error& why) {
     Error error;
-    if (parser_->is_header_done() && parser_->need_eof()) {
+    if (why == asio::error::eof && parser_->is_header_done() && parser_->need_eof()) {
       parser_->put_eof(error);
-      if (!error && parser_->is_done()) return answered();
+      if (!error && parser_->is_done()) return answered(true);
     }
     pool_.stats_.resetReused += used_;
     pool_.stats_.resetInAnswer += parser_->got_some();
     end(Result::reset);
   }
 
-  void answered() {
+  void answered(bool complete) {
     auto& answer = parser_->get();
     AttemptEnd whole;
     outcome_.result = resultOf(answer);
-    stamp();
+    whole.streamed = streaming_;
+    if (!streaming_) stamp();
     pool_.count(outcome_.result);
     int percent = 0;
     if (parse(view(answer["X-RateLimit-Used"]), percent) && percent >= 0) outcome_.usePercent = percent;
@@ -217,11 +296,12 @@
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = written_ && in_.size() == 0 && answer.keep_alive() &&
+    const bool good = complete && written_ && in_.size() == 0 && answer.keep_alive() &&
                       answer.result() != http::status::switching_protocols && answer.result_int() >= 200;
     whole.body = std::move(answer.body());
-    busy_ = false;
+    busy_ = streaming_ = false;
     used_ = true;
+    std::string().swap(out_);
     const auto self = shared_from_this();
     if (good) {
       pool_.keep(self);
@@ -234,6 +314,7 @@
 
   void end(Result result) {
     AttemptEnd whole;
+    whole.streamed = streaming_;
     whole.outcome = stop(result);
     const auto self = shared_from_this();
     pool_.drop(*this);
@@ -244,8 +325,10 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer in_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<WindowBody>> parser_;
   std::string out_;
+  std::function<void(AttemptBytes::Take)> pull_;  // the rest of the body
+  std::optional<Clock::duration> timeout_;
   Outcome outcome_;
   Clock::time_point startedAt_, giveUpAt_;
   bool up_ = false;
@@ -253,6 +336,9 @@
   bool used_ = false;     // has carried an attempt before
   bool written_ = false;  // the request's last byte: from here on it may have run
   bool closed_ = false;
+  bool chunked_ = false;    // how a body that is passed on is framed
+  bool streaming_ = false;  // the answer is passed on as it comes
+  bool reading_ = false;
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
@@ -301,7 +387,14 @@
   if (found != workers_.end()) closeIdle(found->second);
 }
 
-void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, std::string bytes,
+void WorkerPool::resume(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return;
+  const Shared connection = found->second;
+  connection->resume();
+}
+
+void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, AttemptBytes bytes,
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
   Shared connection;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -19,11 +19,22 @@
 
 namespace burlwind {
 
-// How an attempt ended, and the answer if it was served.
+// How an attempt ended, and the answer if it was served; of one that was passed on as it came, the last
+// piece.
 struct AttemptEnd {
   irisring::Outcome outcome;
   std::string body;
   std::string contentType;
+  bool streamed = false;
+};
+
+// What goes out: head and body in one, or their beginning and where the rest of the body comes from.
+struct AttemptBytes {
+  using Take = std::function<void(std::string&& piece, bool last)>;
+
+  std::string bytes;
+  std::function<void(Take)> pull;  // none: the bytes are all
+  bool chunked = false;            // how the rest is framed
 };
 
 class WorkerPool {
@@ -33,12 +44,22 @@
     std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
     std::size_t total = 480;                   // connections to all workers
     std::size_t idlePerWorker = 64;
+    std::chrono::milliseconds silentFor{10000};  // within an answer or a body that is passed on as it comes
   };
   struct Place {
     boost::asio::ip::tcp::endpoint address;
     double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
   };
   using Ended = std::function<void(AttemptEnd&&)>;
+  // Of what is passed on as it comes.
+  struct Streams {
+    // A good answer goes on past what is held whole; its pieces follow.
+    std::function<void(irisring::RequestId, const std::string& contentType,
+                       std::optional<std::uint64_t> length)>
+        began;
+    // The next piece; nothing more is read until `resume`.
+    std::function<void(irisring::RequestId, std::string&& piece)> piece;
+  };
   // What happened since the last look, for the service log.
   struct Stats {
     std::array<unsigned, 8> results{};  // attempts ended, by irisring::Result
@@ -60,11 +81,14 @@
   void retire(irisring::WorkerId worker);
 
   // Starts one attempt. `ended` is called once for it, never from within this call.
-  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, std::string bytes,
+  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, AttemptBytes bytes,
              std::optional<std::chrono::steady_clock::duration> timeout);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
+  void streamTo(Streams streams) { streams_ = std::move(streams); }
+  // There is room for the next piece of this request's answer.
+  void resume(irisring::RequestId id);
   // Changed settings, from the next connection or answer on.
   void retune(const Limits& limits, std::vector<std::string> reportFields);
   // Closes what stands idle at this worker.
@@ -94,6 +118,7 @@
 
   boost::asio::io_context& io_;
   Limits limits_;
+  Streams streams_;
   std::vector<std::string> reportFields_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;
