--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -187,7 +188,10 @@
     if (stopped_) return;
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
-    timer_.expires_after(backoff_);
+    // By chance, half to one and a half of it: gatekeepers that lost discovery together do not come back
+    // together.
+    timer_.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
+        backoff_ * std::uniform_real_distribution<>(0.5, 1.5)(random_)));
     backoff_ = std::min<std::chrono::milliseconds>(2 * backoff_, kBackoffMost);
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
@@ -203,6 +207,7 @@
   std::string out_, line_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::chrono::milliseconds backoff_ = kBackoffFirst;
+  std::minstd_rand random_{std::random_device{}()};
   std::string_view lastWhy_;
   Stats stats_;
   std::optional<std::chrono::steady_clock::time_point> answeredAt_;
