--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -141,6 +141,11 @@
   void exclude(Time now, WorkerId worker);
   void include(Time now, WorkerId worker);
 
+  // The good answers a ms that a warm worker has lately given this gateway, and the same from the process
+  // that this one takes over from: what cold workers are held against.
+  double warmRate(Time now) const;
+  void knowWarmRate(Time now, double rate);
+
   Census census(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -55,6 +55,9 @@
 // Guards.
 constexpr double kColdMargin = 0.8;  // of a cold worker's told share; above 1 eats into the rule's multiple
 constexpr Time kRateTau = 4000;  // ms, memory of the rate of good answers that cold workers are held against
+constexpr Time kWarmSmooth = 2000;  // ms over which a warm worker's part of it is learned
+constexpr Time kWarmTau =
+    60000;  // ms, memory of that while none is warm; shorter: a release starves the rest
 // Server choice and health.
 constexpr Time kSlowTau = 30000;   // ms, memory of a worker's latency
 constexpr double kSlowKeep = 0.8;  // and of its older answers; higher: late to see a slow machine
@@ -387,6 +390,14 @@
     return out;
   }
 
+  double warmRate(Time now) const { return toward(perWarm_, 0, now - warmAt_, kWarmTau); }
+
+  void knowWarmRate(Time now, double rate) {
+    if (!sane(rate)) return;
+    perWarm_ = rate;
+    warmAt_ = now;
+  }
+
   std::size_t customersHeld() const { return index_.size(); }
   std::size_t requestsHeld() const { return held_.size(); }
 
@@ -677,13 +688,15 @@
   // Keeps this gateway's sends to a cold worker under its share of the good answers that it has of a warm
   // one. Every gateway does so, so all together stay under the cold worker's share of what a warm one can do,
   // also while retries are sent many times over. One that knows no such rate (all cold, just restarted) keeps
-  // to its part of what even a worker of one request a span bears. Hurts where the told lower bound is far
-  // under what the worker can do: it fills more slowly than it could.
+  // to its part of what even a worker of one request a span bears. What a warm worker has answered is
+  // remembered while a release leaves none warm: it is what the cold ones come back to. Hurts where the told
+  // lower bound is far under what the worker can do: it fills more slowly than it could.
   bool coldRoom(Worker& w, Time now) {
     const double warm = warmth(w, now);
     if (warm >= 1) return true;
     const double least = set_.fallMultiple / std::max(set_.fallSpan, 1.0) / set_.gateways;
-    const double known = toward(warmRate_, 0, now - warmAt_, kRateTau) / std::max(1u, warmWorkers_);
+    const double known =
+        std::max(toward(warmRate_, 0, now - warmAt_, kRateTau) / std::max(1u, warmWorkers_), warmRate(now));
     w.coldTokens =
         std::min(1.0, w.coldTokens + kColdMargin * warm * std::max(known, least) * (now - w.coldAt));
     w.coldAt = now;
@@ -692,12 +705,14 @@
 
   void noteGood(const Worker& w, Time now) {
     if (warmth(w, now) < 1) return;
-    warmRate_ = toward(warmRate_, 0, now - warmAt_, kRateTau) + 1 / kRateTau;
+    const Time since = now - warmAt_;
+    warmRate_ = toward(warmRate_, 0, since, kRateTau) + 1 / kRateTau;
     warmAt_ = now;
     warmWorkers_ = 0;
     for (const Worker& other : workers_)
       warmWorkers_ +=
           other.listed.phase == Phase::ready && warmth(other, now) >= 1 && other.ejectedUntil <= now;
+    perWarm_ = toward(perWarm_, warmRate_ / std::max(1u, warmWorkers_), since, kWarmSmooth);
   }
 
   // --- 3. Server choice and health ----------------------------------------------------------------------
@@ -978,6 +993,7 @@
   double warmRate_ = 0;          // good answers of warm workers a ms
   Time warmAt_ = 0;
   unsigned warmWorkers_ = 0;
+  double perWarm_ = 0;  // a warm worker's part of that rate
   Time loggedAt_ = -kLogEvery;
   Refusals refusals_;
   Time summaryAt_ = 0;
@@ -999,6 +1015,8 @@
 void Gateway::exclude(Time now, WorkerId worker) { core_->exclude(now, worker); }
 void Gateway::include(Time now, WorkerId worker) { core_->include(now, worker); }
 void Gateway::settings(Time now, const Settings& settings) { core_->settings(now, settings); }
+double Gateway::warmRate(Time now) const { return core_->warmRate(now); }
+void Gateway::knowWarmRate(Time now, double rate) { core_->knowWarmRate(now, rate); }
 Census Gateway::census(Time now) const { return core_->census(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <deque>
 
 #include "recorder.hpp"
@@ -191,6 +192,37 @@
   EXPECT_LT(sent, 80u);  // a warm one as idle as the other would have half
 }
 
+// What a warm worker bore is known after a release has left none, and to a process that is told.
+TEST(ColdWorkers, AreFilledByWhatAWarmOneHasBorne) {
+  const auto sentTo = [](double told, bool learns) {
+    Bench b(settings(), 50000);
+    b.list({member(1)});
+    if (told > 0) b.gateway.knowWarmRate(b.now, told);
+    for (CustomerId c = 0; learns && c < 400; ++c) {
+      b.now += 20;
+      const RequestId id = b.ask(0, 0, c);
+      if (b.wasSent(id)) b.end(id, Result::ok, 20);
+    }
+    EXPECT_LT(b.gateway.warmRate(b.now), 0.1);
+    b.now += 20000;  // nothing warm for long
+    b.list({member(1, 0, b.now)});
+    int sent = 0;
+    for (CustomerId c = 1000; c < 1400; ++c) {
+      b.now += 10;
+      const RequestId id = b.ask(0, 0, c);
+      if (!b.wasSent(id)) continue;
+      ++sent;
+      b.end(id, Result::ok, 20);
+    }
+    return sent;
+  };
+  const int unknown = sentTo(0, false);
+  EXPECT_GT(sentTo(0, true), unknown + 10);
+  EXPECT_GT(sentTo(0.05, false), unknown + 10);
+  EXPECT_EQ(sentTo(std::nan(""), false), unknown);
+  EXPECT_LT(sentTo(0.05, false), 0.05 * 4000);
+}
+
 // Memory over a long stream of new customers, with answers that never come but end by their time-outs.
 TEST(Memory, StaysBoundedOverALongStreamOfNewCustomers) {
   Bench b;
