--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "node/legacy.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -34,6 +36,8 @@
 constexpr Time kDeadlineMost = 3000, kAnswerSlack = 400, kEndSlack = 550;
 constexpr Time kMostUpload = 30 * 60 * 1000;  // past any time that the slowest client takes for a body
 constexpr auto kFollowEvery = 250ms;  // between looks at what the other process of an upgrade has excluded
+constexpr auto kLeaveEvery = 1s;      // between two writings of what the next process inherits
+constexpr Time kLegacyHolds = 30000;  // ms; older: nobody has served since
 constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
 constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
 constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
@@ -86,7 +90,8 @@
       drain_(io),
       report_(io),
       follow_(io),
-      accept_(io) {
+      accept_(io),
+      leave_(io) {
   pool_.streamTo({[this](RequestId id, const std::string& type, std::optional<std::uint64_t> length) {
                     began(id, type, length);
                   },
@@ -94,6 +99,7 @@
   if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this));
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
   applyExclusions({});
+  takeLegacy();
   long long from = -1;
   if (!config_.known.empty()) {
     const Roster known = parseRoster(config_.known);
@@ -111,7 +117,10 @@
   if (ops_) ops_->start(*config_.ops);
   server_.start();
   discovery_->start();
-  if (config_.acceptFd >= 0) acceptOnceReady();
+  if (config_.acceptFd >= 0) {
+    acceptOnceReady();
+    leaveLater();
+  }
   if (!config_.stateDir.empty()) followExclusions();
   reportLater();
 }
@@ -177,6 +186,24 @@
   if (named_.size() < kMostNamed || named_.contains(id)) named_.insert(id);
 }
 
+// What the next process would have to learn anew, while cold workers get next to nothing.
+void Gatekeeper::leaveLater() {
+  leave_.expires_after(kLeaveEvery);
+  leave_.async_wait([this](const Error& error) {
+    if (error || draining_) return;
+    const Time now = clock_.now();
+    if (const double rate = gateway_.warmRate(now); rate > 0) leave(config_.stateDir, {now, rate});
+    leaveLater();
+  });
+}
+
+void Gatekeeper::takeLegacy() {
+  if (config_.acceptFd < 0) return;
+  const Time now = clock_.now();
+  const auto legacy = inherit(config_.stateDir);
+  if (legacy && std::abs(now - legacy->atMs) < kLegacyHolds) gateway_.knowWarmRate(now, legacy->warmRate);
+}
+
 void Gatekeeper::acceptOnceReady() {
   if (draining_) return;
   if (readyToServe()) return server_.beginAccepting();
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -103,6 +103,8 @@
   void followExclusions();
   void applyExclusions(const std::set<std::string>& before);
   void noteNamed(const std::string& id);
+  void leaveLater();
+  void takeLegacy();
   void reportLater();
   void report();
   AttemptBytes attemptBytes(irisring::RequestId id, Held& held, irisring::Time wait);
@@ -130,7 +132,7 @@
   std::unordered_set<std::string> named_;  // ids that lists have named, of which operators may speak
   std::optional<OpsServer> ops_;
   std::chrono::steady_clock::time_point startedAt_;
-  boost::asio::steady_timer drain_, report_, follow_, accept_;
+  boost::asio::steady_timer drain_, report_, follow_, accept_, leave_;
   unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
   bool ready_ = false;
   bool draining_ = false;
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -7,6 +7,7 @@
 
 #include "loopback.hpp"
 #include "node/exclusions.hpp"
+#include "node/legacy.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -189,6 +190,18 @@
   EXPECT_TRUE(shows("svc.reconfig_failed:1|c"));
 }
 
+TEST_F(Ops, WhatIsLeftForTheNextProcessIsReadBackOrNotThere) {
+  EXPECT_FALSE(inherit(folder));
+  leave(folder, {1e12, 0.01});
+  ASSERT_TRUE(inherit(folder));
+  EXPECT_EQ(inherit(folder)->warmRate, 0.01);
+  for (const char* damage : {"", "{", "[]", "{\"atMs\":1}", "{\"atMs\":1,\"warmRate\":-1}",
+                             "{\"atMs\":1,\"warmRate\":\"much\"}"}) {
+    std::ofstream(folder + "/burlwind-legacy.json") << damage;
+    EXPECT_FALSE(inherit(folder)) << damage;
+  }
+}
+
 // Two processes on one listening socket. The old one leaves it listening and unanswered connections to the
 // new one, and still hears what comes on the connections that it has.
 TEST_F(Ops, AnUpgradeTurnsNobodyBack) {
