Start a new customer's bucket with at least one usual request

To blame: freshTokens.

Now the start is burst over the gateways, but at least one request of the size usual at this gateway. Where burst over the gateways holds a request nothing changes.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -35,6 +35,7 @@
 constexpr double kShareWeight =
     4;                            // requests that a share of 1/setSize counts for; lower: one request is news
 constexpr double kUnitsKeep = 8;  // requests behind the usual size
+constexpr double kPooledUnits = 50;     // new customers behind the gateway's usual size of a request
 constexpr double kNewReading = 0.3;     // metered periods after which another value is a new reading
 constexpr Time kOpenTau = 1000;         // ms, memory of own attempts out
 constexpr Time kShareTau = 10000;       // ms, memory of the share; longer: slow after traffic moves
@@ -462,9 +463,10 @@
     fresh.plan = ask.plan;
     fresh.setSize = std::max(1u, std::min(ask.setSize, set_.gateways));
     fresh.at = fresh.readingAt = now;
+    fresh.units = std::max(0.0, ask.units);
+    usualUnits_ = usualUnits_ > 0 ? toward(usualUnits_, fresh.units, 1, kPooledUnits) : fresh.units;
     fresh.tokens = freshTokens(plan, fresh.setSize, now);
     fresh.store = plan.burst;
-    fresh.units = std::max(0.0, ask.units);
     fresh.in.fill(1);
     fresh.credit = random_.next() * fresh.units;
     fresh.oldTime = share(fresh) * (now - bucketSince_) / 1000;
@@ -478,9 +480,13 @@
   }
 
   // What a bucket holds by now that was made at this gateway's start, or when one that lost by it was
-  // evicted.
+  // evicted. Tokens are spent in whole requests: where the gateways are so many that burst over them holds
+  // none, one usual request is the least that a bucket starts with, or all of them would refuse the first
+  // requests of a customer whose store is full. It may hurt where most of the set see a heavy customer at
+  // once.
   double freshTokens(const PlanSettings& plan, unsigned setSize, Time now) const {
-    return std::min(plan.burst, plan.burst / setSize + plan.rate * (now - bucketSince_) / 1000);
+    const double start = std::max(plan.burst / setSize, usualUnits_);
+    return std::min(plan.burst, start + plan.rate * (now - bucketSince_) / 1000);
   }
 
   // Drops the oldest entry that loses nothing by it, so that a stream of one-off customers does not bring
@@ -982,6 +988,7 @@
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
   Time bucketSince_, ceilingSince_;
+  double usualUnits_ = 0;  // of the first requests of customers
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double limit_ = 0;       // and how many may be
   Time limitAt_ = 0;
