Size the back-off to discovery by the number of gatekeepers that call at once

Time line over all logs: 60 to 100 calls a second; each waited 2.0 s in discovery's line and got 503, or got it at once because the line was full. Sparse calls were answered 50 ms apart, so it serves some 20 a second: a line that is always longer than its time-out is worked through for nobody.

Ruled out: the wait of this side (12 s instead of 2 changed nothing: discovery gives up the call itself), the list's size (the answers have 46 bytes), the connection (all came up). To blame: kBackoffFirst and kBackoffMost in src/node/discovery.cpp, fine for a few and never under 70 calls a second for a hundred; and the chance in the wait came from the machine, not from the configured seed.

Now the waits also grow with the number of gatekeepers: 20 ms each at first (at least 50 ms), 160 ms each at most (at least 1 s). Three gatekeepers wait 60 ms at first and 1 s at most.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -27,6 +27,11 @@
 constexpr auto kSilence = 4500ms;
 constexpr auto kBackoffFirst = 50ms;
 constexpr auto kBackoffMost = 1000ms;
+// And for each gatekeeper, where they are many: all of them lose discovery in the same moment, and it serves
+// some twenty calls a second. Calls that come faster than that for long each wait past its time-out, so that
+// none is served any more. Shorter: that; longer: late news after a loss.
+constexpr auto kBackoffFirstEach = 20ms;
+constexpr auto kBackoffMostEach = 160ms;
 constexpr std::size_t kMostLine = std::size_t{1} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -76,8 +81,16 @@
   }
 
  public:
-  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, Told told)
-      : socket_(io), timer_(io), agent_(agent), generation_(from), told_(std::move(told)) {}
+  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Crowd& crowd, Told told)
+      : socket_(io),
+        timer_(io),
+        agent_(agent),
+        generation_(from),
+        told_(std::move(told)),
+        backoffFirst_(
+            std::max<std::chrono::milliseconds>(kBackoffFirst, crowd.gatekeepers * kBackoffFirstEach)),
+        backoffMost_(std::max<std::chrono::milliseconds>(kBackoffMost, crowd.gatekeepers * kBackoffMostEach)),
+        random_(crowd.seed) {}
 
   void open() {
     if (stopped_) return;
@@ -96,7 +109,7 @@
   void moveTo(const tcp::endpoint& agent) {
     if (stopped_ || agent == agent_) return;
     agent_ = agent;
-    backoff_ = kBackoffFirst;
+    backoff_ = backoffFirst_;
     Error ignored;
     socket_.close(ignored);
     open();
@@ -174,7 +187,7 @@
       const Roster roster = parseRoster(line);
       generation_ = roster.generation;
       ++stats_.lists;
-      backoff_ = kBackoffFirst;
+      backoff_ = backoffFirst_;
       told_(roster);
       if (stopped_) return;
     }
@@ -192,7 +205,7 @@
     // together.
     timer_.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
         backoff_ * std::uniform_real_distribution<>(0.5, 1.5)(random_)));
-    backoff_ = std::min<std::chrono::milliseconds>(2 * backoff_, kBackoffMost);
+    backoff_ = std::min(2 * backoff_, backoffMost_);
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
     }));
@@ -206,8 +219,9 @@
   beast::flat_buffer in_;
   std::string out_, line_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::chrono::milliseconds backoff_ = kBackoffFirst;
-  std::minstd_rand random_{std::random_device{}()};
+  const std::chrono::milliseconds backoffFirst_, backoffMost_;
+  std::chrono::milliseconds backoff_ = backoffFirst_;
+  std::mt19937_64 random_;
   std::string_view lastWhy_;
   Stats stats_;
   std::optional<std::chrono::steady_clock::time_point> answeredAt_;
@@ -215,8 +229,9 @@
   bool stopped_ = false;
 };
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, Told told)
-    : watch_(std::make_shared<Watch>(io, agent, from, std::move(told))) {}
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, const Crowd& crowd,
+                     Told told)
+    : watch_(std::make_shared<Watch>(io, agent, from, crowd, std::move(told))) {}
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
 Discovery::Stats Discovery::takeStats() { return watch_->takeStats(); }
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,9 +38,15 @@
  public:
   using Told = std::function<void(const Roster&)>;
 
+  // Those who may call at the same time as this one, and what its share of the chance is drawn from.
+  struct Crowd {
+    unsigned gatekeepers = 1;
+    std::uint64_t seed = 0;
+  };
+
   // `from`: the version that is known already, or below 0.
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
-            Told told);
+            const Crowd& crowd, Told told);
   ~Discovery();
   // What happened since the last look, for the service log.
   struct Stats {
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -106,9 +106,9 @@
     from = known.generation;
     told(known, ListKind::cached);
   }
-  discovery_ = std::make_unique<Discovery>(io, config_.discovery, from, [this](const Roster& roster) {
-    told(roster, roster.reset ? ListKind::full : ListKind::delta);
-  });
+  discovery_ = std::make_unique<Discovery>(
+      io, config_.discovery, from, Discovery::Crowd{config_.settings.gateways, config_.seed},
+      [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
 }
 
 Gatekeeper::~Gatekeeper() = default;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 
 #include "loopback.hpp"
+#include "node/discovery.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -140,6 +141,33 @@
   EXPECT_EQ(client->count("only"), 1u);
 }
 
+class Calls : public Loopback {
+ protected:
+  // The least time from the first calls of some gatekeepers, all turned away, to the first call of them that
+  // comes again.
+  std::chrono::milliseconds firstAgain(unsigned gatekeepers) {
+    Listener agent(io);
+    std::vector<std::unique_ptr<Discovery>> all;
+    for (unsigned i = 0; i < 10; ++i) {
+      all.push_back(std::make_unique<Discovery>(io, agent.address(), -1, Discovery::Crowd{gatekeepers, i},
+                                                [](const Roster&) {}));
+      all.back()->start();
+    }
+    until([&] { return agent.count("GET /registry/instances") == 10; }, "all call");
+    const auto refused = std::chrono::steady_clock::now();
+    for (const auto& peer : std::vector<PeerPtr>(agent.peers)) peer->send(reply("503 Busy", ""));
+    until([&] { return agent.peers.size() > 10; }, "one calls again");
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - refused);
+  }
+};
+
+// A hundred that lose discovery together would come back within half a second, and then three times in two,
+// faster than it can answer them; each waits longer by how many may call with it.
+TEST_F(Calls, GatekeepersThatAreManyComeBackToDiscoveryMoreSlowly) {
+  EXPECT_GE(firstAgain(100).count(), 900);
+  EXPECT_GE(firstAgain(3).count(), 20);
+}
+
 class Pool : public Loopback {
  protected:
   void open(const WorkerPool::Limits& limits) {
