Keep the gateway's limit when a worker that is still cold answers late

Ruled out: pressed warm workers (late 4 to 13%), slowAlone (a new worker has no samples, so it is never slow by itself). To blame: steerLimits, which takes every late answer for a sign of what all workers bear.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -847,8 +847,8 @@
   // queues at the workers short enough that what is sent is still worth answering, whatever made them long.
   // The worker's own holds where a gateway has several attempts at a worker; that of the whole gateway goes
   // as far below one for each worker as it must where gateways outnumber what the workers hold. It moves by
-  // time, not by answer, so that many answers a second say no more than a few. It may hurt where one worker's
-  // answers alone are late: it then sends less to all.
+  // time, not by answer, so that many answers a second say no more than a few. Late answers of a worker that
+  // is slow by itself or still cold tell of that worker: they leave it as it is.
   void steerLimits(Worker& w, Time now, Time aim, const Outcome& end) {
     const bool late = end.result == Result::full || end.elapsed > kLimitLate * aim;
     const bool early = end.result == Result::ok && end.elapsed < kLimitEarly * aim;
@@ -861,7 +861,8 @@
     const double span = std::min(now - limitAt_, kLimitHold) / 1000;
     limitAt_ = now;
     notePeak(now);
-    if (late && !slowAlone(w))
+    if (late && (slowAlone(w) || warmth(w, now) < 1)) return;
+    if (late)
       limit_ = std::max(kLimitLeast, std::min(limit_, kPoolSpare * (peak_ + 1)) * std::exp(-kPoolCut * span));
     else if (early && inFlight_ + 1 >= kLimitUsed * limit_)
       limit_ *= std::exp(kPoolRise * span);
