Deal the workers out in even subsets where gatekeepers are many

Ruled out: connections that end too early (0 closed as idle, hardly any reset). To blame: pick, which compares all workers, nearly all with no attempt of its own out.

Now a gatekeeper prefers its own block of a deterministic, even deal by hash (assign). Gatekeepers under 40, or workers under 16, use all as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -70,9 +70,12 @@
 constexpr double kUsualOfAim = 0.2;  // usual latency of a class without answers
 constexpr double kTie = 0.02;  // of a worker's cost, by chance; 0: gateways alike all take the first listed
 constexpr double kShunned =
-    10000;                        // cost factor of an ejected or silent worker: only where there is no other
-constexpr double kTried = 30;     // of one that has failed this request
-constexpr Time kBaseTau = 20000;  // ms, memory of a class's usual latency
+    10000;                         // cost factor of an ejected or silent worker: only where there is no other
+constexpr unsigned kSharers = 20;  // gateways that use a worker as their own; fewer: uneven as their traffic
+constexpr unsigned kLeastOwn = 8;  // workers that a gateway uses at least; fewer: one bad one is felt
+constexpr double kOutside = 2.5;   // cost factor of one that is not its own
+constexpr double kTried = 30;      // of one that has failed this request
+constexpr Time kBaseTau = 20000;   // ms, memory of a class's usual latency
 constexpr Time kOthersKeep =
     2400;  // ms until a worker without reports counts as the average; longer: old news decides
 constexpr Time kOthersSpan = 50;         // ms that a report stands for at least; 0: two at once count as one
@@ -113,15 +116,16 @@
 
 constexpr int kSlots = 16;  // four metered periods in quarter periods
 
+std::uint64_t mix(std::uint64_t z) {
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
 class Random {  // splitmix64: the same numbers with every library
  public:
   explicit Random(std::uint64_t seed) : state_(seed) {}
-  double next() {
-    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    return static_cast<double>((z ^ (z >> 31)) >> 11) * 0x1.0p-53;
-  }
+  double next() { return static_cast<double>(mix(state_ += 0x9e3779b97f4a7c15ULL) >> 11) * 0x1.0p-53; }
 
  private:
   std::uint64_t state_;
@@ -168,6 +172,7 @@
   Time ejectedUntil = 0, ejectFor = 0, fullUntil = 0;
   double coldTokens = 0;
   Time coldAt = 0;
+  bool own = true;  // one of those that this gateway uses as a rule
   Time backAt = 0;  // let in again by hand: cold from then on, whatever the list says of its start
 };
 
@@ -323,6 +328,7 @@
     }
     if (limit_ <= 0) limit_ = kLimitFirst * static_cast<double>(workers_.size()) / set_.gateways;
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
+    assign();
   }
 
   void settings(Time now, const Settings& to) {
@@ -700,7 +706,9 @@
   bool coldRoom(Worker& w, Time now) {
     const double warm = warmth(w, now);
     if (warm >= 1) return true;
-    const double least = set_.fallMultiple / std::max(set_.fallSpan, 1.0) / set_.gateways;
+    if (!w.own) return false;  // the budget is dealt out among those whose own it is
+    const double sharers = std::max(1.0, static_cast<double>(set_.gateways) / subsets_);
+    const double least = set_.fallMultiple / std::max(set_.fallSpan, 1.0) / sharers;
     const double known =
         std::max(toward(warmRate_, 0, now - warmAt_, kRateTau) / std::max(1u, warmWorkers_), warmRate(now));
     w.coldTokens =
@@ -716,13 +724,31 @@
     warmAt_ = now;
     warmWorkers_ = 0;
     for (const Worker& other : workers_)
-      warmWorkers_ +=
-          other.listed.phase == Phase::ready && warmth(other, now) >= 1 && other.ejectedUntil <= now;
+      warmWorkers_ += other.own && other.listed.phase == Phase::ready && warmth(other, now) >= 1 &&
+                      other.ejectedUntil <= now;
     perWarm_ = toward(perWarm_, warmRate_ / std::max(1u, warmWorkers_), since, kWarmSmooth);
   }
 
   // --- 3. Server choice and health ----------------------------------------------------------------------
 
+  // Which workers are this gateway's own: deterministic subsetting. Each round of as many gateways as there
+  // are subsets deals out all workers once, in an order of its own by hash, so that every worker has as many
+  // gateways as any other, and a change of the list moves few. With few requests a gateway then learns soon
+  // of the workers that it uses, and opens few connections. Where gateways are few, all workers are its own.
+  void assign() {
+    std::vector<std::pair<std::uint64_t, Worker*>> order;
+    for (Worker& w : workers_)
+      if (w.listed.phase == Phase::ready) order.emplace_back(0, &w);
+    const std::size_t n = order.size();
+    subsets_ = std::max(1u, std::min(set_.gateways / kSharers, static_cast<unsigned>(n) / kLeastOwn));
+    const std::uint64_t round = set_.self / subsets_;
+    for (auto& [hash, w] : order) hash = mix(w->listed.worker ^ mix(round));
+    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+      return a.first != b.first ? a.first < b.first : a.second->listed.worker < b.second->listed.worker;
+    });
+    for (std::size_t i = 0; i < n; ++i) order[i].second->own = i * subsets_ / n == set_.self % subsets_;
+  }
+
   Worker* find(WorkerId id) {
     for (Worker& worker : workers_)
       if (worker.listed.worker == id) return &worker;
@@ -797,6 +823,7 @@
       if (w.fullUntil > now || (!held.mayHaveRun && w.inFlight + 1 > w.limit)) continue;
       double cost = slow(w) * (load(w, now) + 1) * warmth(w, now);
       if (w.listed.zone != set_.zone) cost *= 1 + kZoneWeight * set_.crossZonePrice;
+      if (!w.own) cost *= kOutside;
       cost *= 1 + kTie * random_.next();
       if (shunned(w, now)) cost *= kShunned;
       if (std::find(held.tried.begin(), held.tried.end(), w.listed.worker) != held.tried.end())
@@ -995,7 +1022,8 @@
   Time limitAt_ = 0;
   double peak_ = 0;  // the most lately out
   Time peakAt_ = 0;
-  double pressed_ = 0;  // share of admitted tries that find no worker
+  unsigned subsets_ = 1;  // into which all workers are dealt out
+  double pressed_ = 0;    // share of admitted tries that find no worker
   Time pressedAt_ = 0;
   double budget_ = kBudgetMost;  // early time-outs and repeats after them that are left
   double warmRate_ = 0;          // good answers of warm workers a ms
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -64,5 +64,44 @@
   EXPECT_GE(out, 10u);
 }
 
+// Of a hundred gateways with few requests each, every one keeps to a part of the workers, and every worker
+// has as many gateways as any other; a worker that leaves the list moves few. A few gateways use all workers.
+TEST(Fleet, GatewaysShareOutTheWorkersEvenly) {
+  const auto used = [](unsigned gateways, unsigned self, const std::vector<Member>& list) {
+    Settings s = settings();
+    s.gateways = gateways, s.self = self;
+    s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+    Bench b(s);
+    b.list(list);
+    std::set<WorkerId> out;
+    for (int i = 0; i < 200; ++i) {
+      b.now += 100;
+      const RequestId id = b.ask(2, 0, b.last, 1, gateways);
+      if (!b.wasSent(id)) continue;
+      out.insert(b.lastWorker());
+      b.end(id, Result::ok, 50);
+    }
+    return out;
+  };
+  const std::vector<Member> all = workers(60);
+  std::map<WorkerId, unsigned> sharers;
+  unsigned moved = 0;
+  for (unsigned self = 0; self < 100; ++self) {
+    const std::set<WorkerId> own = used(100, self, all);
+    EXPECT_LE(own.size(), 13u);
+    for (const WorkerId w : own) ++sharers[w];
+    if (self >= 10) continue;
+    std::set<WorkerId> then = used(100, self, {all.begin(), all.end() - 1});
+    for (const WorkerId w : own) moved += w != all.back().worker && !then.contains(w);
+  }
+  EXPECT_EQ(sharers.size(), 60u);
+  for (const auto& [worker, count] : sharers) {
+    EXPECT_GE(count, 16u);
+    EXPECT_LE(count, 20u);
+  }
+  EXPECT_LE(moved, 10u);  // one for each of the ten that were looked at
+  EXPECT_EQ(used(3, 1, workers(9)).size(), 9u);
+}
+
 }  // namespace
 }  // namespace irisring::test
