Test that many gatekeepers together keep to a cold worker's budget and use it

A hundred gateways with seeds of their own before sixty workers, one of which restarts: what all of them send it within a span stays under the multiple of its told share, and it is not starved. Fails if gateways fill cold workers that are not their own (12 to 14 sends in a span that allows 9), and if their tokens come ten times more slowly (5 sends in 8 s instead of 20 or more).

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,4 +1,6 @@
 // What only shows where gateways are many and each has few requests.
+#include <algorithm>
+#include <memory>
 #include <set>
 
 #include "recorder.hpp"
@@ -103,5 +105,41 @@
   EXPECT_EQ(used(3, 1, workers(9)).size(), 9u);
 }
 
+// The budget of a cold worker holds over all gateways together, though only some of them use it, and is used.
+TEST(Fleet, TogetherGatewaysKeepToAColdWorkersBudgetAndUseIt) {
+  Settings s = settings();
+  s.gateways = 100;
+  s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+  std::vector<std::unique_ptr<Bench>> all;
+  for (unsigned self = 0; self < s.gateways; ++self) {
+    s.self = self;
+    all.push_back(std::make_unique<Bench>(s, 100000, 1 + self));
+    all.back()->list(workers(60));
+  }
+  const double perMs = 0.7;
+  std::vector<Time> sends;  // to the worker that restarts at 110,000
+  for (Time now = 100000; now < 118000; now += 1 / perMs) {
+    if (now >= 110000 && now < 110000 + 1 / perMs)
+      for (const auto& b : all) {
+        b->now = now;
+        b->list({member(60, 0, 110000)}, ListKind::delta);
+      }
+    Bench& b = *all[static_cast<std::size_t>(now * 7919) % all.size()];
+    b.now = now;
+    const RequestId id = b.ask(2, 0, b.last, 1, 100);
+    if (!b.wasSent(id)) continue;
+    if (b.lastWorker() == 60 && now > 110000) sends.push_back(now);
+    b.end(id, Result::ok, 100);
+  }
+  const double warm = perMs / 60;  // what a warm worker gets
+  for (const Time from : sends) {
+    const auto within =
+        std::count_if(sends.begin(), sends.end(), [&](Time t) { return t >= from && t < from + s.fallSpan; });
+    const double warmth = s.coldFrom + (1 - s.coldFrom) * (from - 110000) / s.warmUp;
+    EXPECT_LE(static_cast<double>(within), s.fallMultiple * warmth * warm * s.fallSpan + 4) << from;
+  }
+  EXPECT_GE(sends.size(), 20u);  // of 8,000 ms at 0.2 to 0.84 of a warm one's 11.7 a second
+}
+
 }  // namespace
 }  // namespace irisring::test
--- a/tests/recorder.hpp
+++ b/tests/recorder.hpp
@@ -79,8 +79,8 @@
 
 class Bench {  // one gateway with its recorder
  public:
-  explicit Bench(const Settings& s = settings(), Time start = 0)
-      : now(start), gateway(s, 7, start, recorder) {}
+  explicit Bench(const Settings& s = settings(), Time start = 0, std::uint64_t salt = 7)
+      : now(start), gateway(s, salt, start, recorder) {}
 
   void list(const std::vector<Member>& members, ListKind kind = ListKind::full) {
     gateway.members(now, kind, members);
