--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -87,6 +87,16 @@
   Time expires = 0;
   double units = 1;
   unsigned setSize = 1;  // gateways that this customer's requests come through
+  double bytes = 0;      // of memory that the host holds for it
+};
+
+// How the host is pressed for memory, descriptors or time.
+struct Pressure {
+  bool on = false;
+  bool memory = false;  // is what is short: nothing that holds much of it is begun
+  double share = 0;     // of new requests that are too many
+  double excess = 0;    // bytes that what is held has to give back now
+  Time lasts = 0;       // how much longer this may go on
 };
 
 struct Outcome {
@@ -133,6 +143,10 @@
   void whole(Time now, RequestId id, Time expires);
   void outcome(Time now, const Outcome& outcome);
   void clientLeft(Time now, RequestId id);
+  // From now on its client gets the answer of the attempt that is out.
+  void answering(Time now, RequestId id);
+  // Holds until it is told anew; without it every action is as if there were no such event.
+  void pressure(Time now, const Pressure& pressure);
   void timer(Time now, std::uint64_t tag);
   // Changed settings, from the next request on: an open one keeps its class, and may lose attempts but gain
   // none. Throws as the constructor does, and then nothing has changed.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <stdexcept>
+#include <tuple>
 #include <unordered_map>
 
 namespace irisring {
@@ -109,6 +110,9 @@
 constexpr double kPatienceOfAim = 1;   // and at least this share of the aim
 constexpr double kBudgetMost = 5;      // early time-outs in a row
 constexpr double kBudgetStep = 0.05;   // earned by each good answer; higher: time-outs feed an overload
+// Under the host's pressure.
+constexpr double kCutStep = 0.1;       // of the worth for what it holds that is let in; lower: follows late
+constexpr double kLeastBytes = 16384;  // below it requests hold alike: descriptors and time count, not bytes
 constexpr Time kHoldStep = 40;         // ms between looks for a worker for a request that must not be refused
 constexpr Time kRetryAfter = 250;      // ms advised when no worker can take the request
 constexpr Time kLogEvery = 2000;       // ms between log lines
@@ -195,6 +199,7 @@
   unsigned ranZone = 0, ranCell = 0;
   Time ranSince = 0, sentAt = 0;
   std::vector<WorkerId> tried;
+  bool answering = false;  // its client has begun to get the answer
 };
 
 bool provesUnrun(Result result) {
@@ -241,6 +246,10 @@
     Customer& customer = lookUp(now, ask);
     summarize(now);
     if (const auto wait = admit(customer, ask)) return refuse(ask.id, *wait);
+    if ((press_.memory && ask.bytes > kLeastBytes) || (press_.share > 0 && tooMany(ask))) {
+      ++refusals_.pressed;
+      return refuse(ask.id, press_.lasts);
+    }
     Held held;
     held.ask = ask;
     held.klass = classes_[ask.klass];
@@ -301,6 +310,37 @@
 
   void clientLeft(Time, RequestId id) { held_.erase(id); }
 
+  void answering(Time, RequestId id) {
+    if (const auto found = held_.find(id); found != held_.end()) found->second.answering = true;
+  }
+
+  // What is held gives back what memory asks for: customers beyond their quota first, then the least worth
+  // for what it holds; one whose answer has begun only where there is no other left.
+  void pressure(Time now, const Pressure& pressure) {
+    press_ = pressure;
+    if (!(press_.excess > 0)) return;
+    std::vector<std::tuple<bool, bool, double, RequestId>> order;
+    for (const auto& [id, held] : held_) {
+      const Customer* customer = peek(held.ask.customer);
+      const bool beyond = customer && set_.plans[held.ask.plan].rate > 0 && customer->store < 0;
+      order.emplace_back(held.answering, !beyond, worthFor(held.ask, held.klass->told), id);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto& [answering, inside, worth, id] : order) {
+      if (press_.excess <= 0) return;
+      Held& held = held_.at(id);
+      press_.excess -= held.ask.bytes;
+      held.mayHaveRun = held.mayHaveRun || held.out;
+      ++refusals_.pressed;
+      if (!answering) {
+        giveUp(now, held);
+        continue;
+      }
+      held_.erase(id);
+      actions_.fail(id);
+    }
+  }
+
   void timer(Time now, std::uint64_t tag) {
     if (tag == kAskTag) return actions_.subscribe();
     const auto found = held_.find(static_cast<RequestId>(tag));
@@ -588,9 +628,9 @@
     c.in[static_cast<std::size_t>(c.slot % kSlots)] = empty ? c.fraction : 1;
     // The fraction times the demand is the rate: what it lets in here is this gateway's share of the rate,
     // measured out over time, so that a demand misjudged by some gateways does not add up past the quota.
-    if (empty && c.credit < units) {
+    if (empty && (press_.on || c.credit < units)) {
       ++refusals_.store;
-      return 1000 * (units - c.credit) / (plan.rate * share(c));
+      return 1000 * std::max(units - c.credit, 0.0) / (plan.rate * share(c));
     }
     if (empty) c.credit -= units;
     return std::nullopt;
@@ -968,9 +1008,25 @@
       actions_.fail(id);
   }
 
+  // Under pressure nobody is asked back before it is likely to be over, and nobody at the same moment.
   void refuse(RequestId id, Time wait) {
+    if (press_.on) wait = std::max(wait, press_.lasts);
     const Time most = set_.maxRetryAfter > 0 ? set_.maxRetryAfter : wait;
-    actions_.refuse(id, std::clamp(wait, 1.0, std::max(1.0, most)));
+    wait = std::clamp(wait, 1.0, std::max(1.0, most));
+    actions_.refuse(id, press_.on ? wait * (1 - random_.next() / 2) : wait);
+  }
+
+  double worthFor(const Request& ask, const ClassSettings& klass) const {
+    return klass.worth * set_.plans[ask.plan].price * ask.units / std::max(ask.bytes, kLeastBytes);
+  }
+
+  // Whether a new request is among the share that has to go: the mark moves until that share is under it.
+  bool tooMany(const Request& ask) {
+    const double worth = worthFor(ask, classes_[ask.klass]->told) * (1 + kTie * random_.next());
+    if (cut_ <= 0) cut_ = worth;
+    const bool under = worth < cut_;
+    cut_ *= std::exp(kCutStep * (press_.share - under));
+    return under;
   }
 
   void log(Time now, const char* line) {
@@ -989,18 +1045,18 @@
       ++ready, ejected += w.ejectedUntil > now, cold += warmth(w, now)<1, full += w.fullUntil> now;
     }
     char line[240];
-    std::snprintf(
-        line, sizeof line,
-        "refused: bucket %u store %u worker %u (gateway's limit %u); limit %.1f out %u pressed %.2f; "
-        "workers ready %u ejected %u cold %u full %u",
-        refusals_.bucket, refusals_.store, refusals_.worker, refusals_.room, limit_, inFlight_, pressed_,
-        ready, ejected, cold, full);
+    std::snprintf(line, sizeof line,
+                  "refused: bucket %u store %u worker %u (gateway's limit %u) pressed %u; limit %.1f out %u "
+                  "pressed %.2f; "
+                  "workers ready %u ejected %u cold %u full %u",
+                  refusals_.bucket, refusals_.store, refusals_.worker, refusals_.room, refusals_.pressed,
+                  limit_, inFlight_, pressed_, ready, ejected, cold, full);
     refusals_ = {};
     actions_.log(line);
   }
 
   struct Refusals {
-    unsigned bucket = 0, store = 0, worker = 0, room = 0;
+    unsigned bucket = 0, store = 0, worker = 0, room = 0, pressed = 0;
   };
 
   Settings set_;
@@ -1030,6 +1086,8 @@
   Time warmAt_ = 0;
   unsigned warmWorkers_ = 0;
   double perWarm_ = 0;  // a warm worker's part of that rate
+  Pressure press_;
+  double cut_ = 0;  // worth for what it holds under which a new request is too many
   Time loggedAt_ = -kLogEvery;
   Refusals refusals_;
   Time summaryAt_ = 0;
@@ -1047,6 +1105,8 @@
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
 void Gateway::whole(Time now, RequestId id, Time expires) { core_->whole(now, id, expires); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
+void Gateway::answering(Time now, RequestId id) { core_->answering(now, id); }
+void Gateway::pressure(Time now, const Pressure& pressure) { core_->pressure(now, pressure); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
 void Gateway::exclude(Time now, WorkerId worker) { core_->exclude(now, worker); }
 void Gateway::include(Time now, WorkerId worker) { core_->include(now, worker); }
--- /dev/null
+++ b/src/node/back_pressure.cpp
@@ -0,0 +1,239 @@
+#include "node/back_pressure.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+namespace burlwind {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+using namespace std::chrono_literals;
+
+constexpr double kProbeEvery = 10;     // ms between two samples of the loop's delay
+constexpr auto kTick = 50ms;           // while a stage is on
+constexpr auto kLookTick = 250ms;      // while only paused reads are watched
+constexpr double kLookEvery = 250;     // ms between looks at whether a paused peer has left
+constexpr std::size_t kMostSteps = 4;  // of an account's paused reads that fail in one wake
+
+bool tcpInfo(int descriptor, tcp_info& info) {
+  socklen_t size = sizeof info;
+  return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && size >= sizeof info.tcpi_state;
+}
+
+}  // namespace
+
+bool hasLeft(tcp::socket& socket) {
+  tcp_info info{};
+  return socket.is_open() && tcpInfo(socket.native_handle(), info) && info.tcpi_state != TCP_ESTABLISHED;
+}
+
+std::size_t queuedAt(tcp::acceptor& acceptor) {
+  tcp_info info{};
+  const bool told = acceptor.is_open() && tcpInfo(acceptor.native_handle(), info);
+  return told && info.tcpi_state == TCP_LISTEN ? info.tcpi_unacked : 0;
+}
+
+BackPressure::BackPressure(asio::io_context& io, const Ledger::Shares& shares, const Pressure::Limits& limits)
+    : io_(io), ledger_(shares), pressure_(limits), tick_(io) {
+  ledger_.watch(
+      limits.memory.low, limits.memory.high, [this] { evaluateSoon(); }, [this] { wakeSoon(); });
+  places_.read(WaitAt::loop, [this](double) {
+    Places::Figures out;
+    out.waiting = probing_;
+    out.oldest = delay_;
+    out.most = static_cast<std::size_t>(mostDelay_);
+    return out;
+  });
+}
+
+BackPressure::~BackPressure() { *alive_ = false; }
+
+double BackPressure::now() {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void BackPressure::begin(Descriptors descriptors, Changed changed) {
+  descriptors_ = std::move(descriptors);
+  changed_ = std::move(changed);
+}
+
+void BackPressure::activity() {
+  if (!probing_ && now() - probedAt_ >= kProbeEvery) probe();
+}
+
+// A handler behind all that are ready: the time until its turn is the age of the loop's own queue.
+void BackPressure::probe() {
+  probing_ = true;
+  probedAt_ = now();
+  asio::post(io_, [this, alive = alive_] {
+    if (!*alive) return;
+    probing_ = false;
+    const double at = now();
+    delay_ = at - probedAt_;
+    mostDelay_ = std::max(mostDelay_, delay_);
+    const bool calm = pressure_.calm();
+    pressure_.loopDelay(at, delay_);
+    if (!calm || !pressure_.calm()) evaluate();
+  });
+}
+
+void BackPressure::noteDescriptors() {
+  const bool full = descriptors_ && descriptors_() >= pressure_.limits().descriptors.high;
+  if (full != fewDescriptors()) evaluateSoon();
+}
+
+void BackPressure::evaluateSoon() {
+  if (std::exchange(evaluating_, true)) return;
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) evaluate();
+  });
+}
+
+void BackPressure::evaluate() {
+  evaluating_ = false;
+  const double at = now();
+  const bool wasSlow = slow();
+  const Ledger::Fill fill = ledger_.fullest();
+  pressure_.level(at, Source::memory, static_cast<double>(fill.held), static_cast<double>(fill.reach));
+  if (descriptors_) pressure_.level(at, Source::descriptors, descriptors_(), 1);
+  const bool news = pressure_.stage() != toldStage_ || pressure_.share() != toldShare_;
+  toldStage_ = pressure_.stage();
+  toldShare_ = pressure_.share();
+  const double excess = pressure_.takeExcess(at);
+  if ((news || excess > 0) && changed_) changed_(excess);
+  if (wasSlow && !slow()) wakeSoon();
+  if (!pressure_.calm()) tickLater();
+}
+
+void BackPressure::waitForRoom(Paused& paused, Account account, std::weak_ptr<void> owner,
+                               std::function<bool()> again, std::function<void()> look) {
+  if (paused.waits() && paused.again_) return;  // it keeps its turn
+  paused.clear();
+  paused.owner_ = std::move(owner);
+  paused.again_ = std::move(again);
+  paused.look_ = std::move(look);
+  paused.place_.enter(places_, WaitAt::pausedRead, now());
+  paused_[static_cast<std::size_t>(account)].push_back(paused);
+  tickLater();
+}
+
+void BackPressure::watch(Paused& paused, std::weak_ptr<void> owner, std::function<void()> look) {
+  if (paused.waits() && !paused.again_) return;
+  paused.clear();
+  paused.owner_ = std::move(owner);
+  paused.again_ = nullptr;
+  paused.look_ = std::move(look);
+  watched_.push_back(paused);
+  tickLater();
+}
+
+bool BackPressure::anyPaused() const {
+  return std::any_of(paused_.begin(), paused_.end(), [](const List& list) { return !list.empty(); });
+}
+
+void BackPressure::wakeSoon() {
+  if (inWake_ || waking_ || (!anyPaused() && !room_)) return;
+  if (!anyPaused() && ledger_.fullest().part() < 0.5) return;  // nobody can be short of room
+  waking_ = true;
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) wake();
+  });
+}
+
+// What is nearest to its end first: news of the workers, answers, requests. Within an account in the order of
+// coming; a few that find no room do not keep those behind them, who may need less.
+void BackPressure::wake() {
+  waking_ = false;
+  inWake_ = true;
+  for (const Account account : {Account::discovery, Account::workers, Account::clients, Account::operators}) {
+    List& list = paused_[static_cast<std::size_t>(account)];
+    std::vector<std::pair<std::shared_ptr<void>, Paused*>> waiting;
+    for (Paused& paused : list) waiting.emplace_back(paused.owner_.lock(), &paused);
+    std::size_t failed = 0;
+    for (const auto& [owner, paused] : waiting) {
+      if (failed >= kMostSteps) break;
+      if (!owner || !paused->waits()) continue;  // its owner has gone on by itself meanwhile
+      const auto again = paused->again_;
+      if (!again()) {
+        ++failed;
+      } else if (paused->waits()) {
+        paused->clear();
+      }
+    }
+  }
+  inWake_ = false;
+  if (room_) room_();
+}
+
+void BackPressure::lookAround(List& list) {
+  std::vector<std::pair<std::shared_ptr<void>, Paused*>> waiting;
+  for (Paused& paused : list) waiting.emplace_back(paused.owner_.lock(), &paused);
+  for (const auto& [owner, paused] : waiting) {
+    if (!owner || !paused->waits() || !paused->look_) continue;
+    const auto look = paused->look_;
+    look();
+  }
+}
+
+void BackPressure::tickLater() {
+  if (std::exchange(ticking_, true)) return;
+  tick_.expires_after(pressure_.calm() ? kLookTick : kTick);
+  tick_.async_wait([this](const Error& error) {
+    if (error) return;
+    ticking_ = false;
+    if (!pressure_.calm()) {
+      if (!probing_) probe();
+      evaluate();
+    }
+    if (now() - lookedAt_ >= kLookEvery) {
+      lookedAt_ = now();
+      for (List& list : paused_) lookAround(list);
+      lookAround(watched_);
+    }
+    if (anyPaused() && !slow()) wakeSoon();
+    if (!pressure_.calm() || anyPaused() || !watched_.empty()) tickLater();
+  });
+}
+
+std::string BackPressure::telemetry() const {
+  std::string out;
+  const auto line = [&](const std::string& name, std::uint64_t value, const char* kind) {
+    out += "svc." + name + ":" + std::to_string(value) + "|" + kind + "\n";
+  };
+  line("memory.budget", ledger_.total(), "g");
+  line("memory.held", ledger_.held(), "g");
+  line("memory.most", ledger_.most(), "g");
+  for (std::size_t i = 0; i < kAccounts; ++i) {
+    const std::string name(kAccountNames[i]);
+    line("memory.held." + name, ledger_.held(static_cast<Account>(i)), "g");
+    line("memory.refused." + name, ledger_.refused(static_cast<Account>(i)), "c");
+  }
+  line("pressure.stage", static_cast<std::uint64_t>(pressure_.stage()), "g");
+  line("pressure.memory", static_cast<std::uint64_t>(pressure_.stage(Source::memory)), "g");
+  line("pressure.descriptors", static_cast<std::uint64_t>(pressure_.stage(Source::descriptors)), "g");
+  line("pressure.loop", static_cast<std::uint64_t>(pressure_.stage(Source::loop)), "g");
+  line("pressure.slowed", pressure_.entered(Stage::slow), "c");
+  line("pressure.shed", pressure_.entered(Stage::shed), "c");
+  return out + places_.telemetry(now());
+}
+
+void BackPressure::report() {
+  static constexpr std::array<const char*, 3> kNames{"none", "slow", "shed"};
+  const auto name = [](Stage stage) { return kNames[static_cast<std::size_t>(stage)]; };
+  std::fprintf(
+      stderr, "burlwind: pressure %s (memory %s, descriptors %s, loop %s); memory %zu of %zu, most %zu; %s\n",
+      name(pressure_.stage()), name(pressure_.stage(Source::memory)),
+      name(pressure_.stage(Source::descriptors)), name(pressure_.stage(Source::loop)), ledger_.held(),
+      ledger_.total(), ledger_.most(), places_.logLine(now()).c_str());
+}
+
+}  // namespace burlwind
--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -20,6 +20,7 @@
   double units = 1;
   unsigned setSize = 1;
   bool whole = true;                    // the body is all there; else its rest is pulled from the asker
+  std::size_t holds = 0;                // bytes of memory, with what it may come to hold
   std::optional<std::uint64_t> length;  // of a body that is not, where the client has stated it
 };
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -17,8 +18,15 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kMostAhead = 16 * 1024;  // read of what follows a request that is held
-constexpr auto kAcceptPause = 50ms;            // after an accept that failed for want of descriptors
-constexpr auto kHalfSentAtStop = 500ms;        // what is left to a half-sent request once nobody accepts
+// A connection with its parser, a first buffer, a request of 2 KiB and a short answer: once it is accepted, a
+// small request never waits for room.
+constexpr std::size_t kConnection = 12 * 1024;
+constexpr std::size_t kBare = 2 * 1024;  // the same without buffer and request
+constexpr double kLeastAway = 250;       // ms advised where the pressure is expected to be over sooner
+constexpr auto kAcceptPause = 50ms;      // after an accept that failed for want of descriptors
+constexpr auto kHalfSentAtStop = 500ms;  // what is left to a half-sent request once nobody accepts
+
+const Rejection kNoRoom{http::status::service_unavailable, "refused: no room, try again later"};
 
 std::string seconds(irisring::Time ms) {
   char text[32];
@@ -51,26 +59,36 @@
   }
 
  public:
-  Connection(ClientServer& server, tcp::socket socket)
-      : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+  // One in the lane is on its way out: its header is heard, and it is turned away.
+  Connection(ClientServer& server, tcp::socket socket, Ledger::Charge room, bool lane)
+      : server_(server),
+        room_(std::move(room)),
+        lane_(lane),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor()) {}
 
   void start() {
     Error ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    tcpTells_ = !hasLeft(socket_);
     listen();
     read();
   }
 
-  void answer(const Answer& answer) override {
+  void answer(Answer&& answer) override {
     if (state_ != State::held) return;
+    answerRoom_ = std::move(answer.room);
     http::response<http::string_body> message(answer.status, 11, answer.body);
     if (!answer.contentType.empty()) message.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) message.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_;
+    last_ = last_ || server_.draining_ || lane_ || server_.pressure_.fewDescriptors() ||
+            (server_.pressure_.slow() && !bodyDone_);
     message.keep_alive(!last_);
     message.prepare_payload();
     state_ = State::answering;
+    wait(WaitAt::answerWrite);
     pull_ = nullptr;
+    giveBack();
     append(out_, message);
     write();
   }
@@ -86,7 +104,9 @@
     if (head.length) message.content_length(*head.length);
     if (chunked_) message.chunked(true);
     state_ = State::streaming;
+    wait(WaitAt::answerWindow);
     pull_ = nullptr;
+    giveBack();
     appendHead(out_, message);
     write();
   }
@@ -100,11 +120,15 @@
     else
       out_ += piece;
     if (last) state_ = State::answering;
-    room_ = std::move(room);
+    taken_ = std::move(room);
     if (!out_.empty()) return write();
     if (writing_.empty()) asio::post(socket_.get_executor(), guard0([this] { written(); }));
   }
 
+  void keep(Ledger::Charge&& room) override {
+    if (state_ != State::closed) answerRoom_ = std::move(room);
+  }
+
   // Without its end where it states one; else a reset tells.
   void cut() override {
     if (state_ != State::streaming) return;
@@ -116,11 +140,16 @@
   void pull(TakePiece take) override {
     if (state_ != State::held) return;
     pull_ = std::move(take);
+    requestBytes_ -= std::min(requestBytes_, std::exchange(passed_, 0));  // the worker has it
+    wait(WaitAt::halfRead);
     sendContinue();
     asio::post(socket_.get_executor(), guard0([this] { offer(); }));
   }
 
   bool idle() const { return state_ == State::reading && !begun(); }
+  bool inLane() const { return lane_; }
+  bool busy() const { return !idle() && state_ != State::lingering; }
+  Clock::time_point openedAt() const { return openedAt_; }
   Clock::time_point idleSince() const { return idleSince_; }
 
   void close() {
@@ -136,7 +165,11 @@
   void abandon() {
     state_ = State::closed;
     pull_ = nullptr;
-    room_ = nullptr;
+    taken_ = nullptr;
+    waiting_.leave();
+    paused_.clear();
+    room_.release();
+    answerRoom_.release();
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -155,6 +188,9 @@
 
   bool begun() const { return begun_ || in_.size() > 0; }
 
+  void wait(WaitAt place) { waiting_.enter(server_.pressure_.places(), place, BackPressure::now()); }
+  void turnAway(WaitAt place) { server_.pressure_.places().turnAway(place); }
+
   void arm(std::chrono::milliseconds span) {
     timer_.expires_after(span);
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
@@ -163,11 +199,31 @@
   }
 
   void expire() {
-    if (state_ == State::reading && begun()) return reject({http::status::request_timeout, "too slow"});
-    if (state_ == State::held && !bodyDone_) return tooSlow();
+    // Not its fault: there is no room to read it in.
+    if (state_ == State::reading && begun() && paused_.waits()) return noRoom(WaitAt::pausedRead);
+    if (state_ == State::reading && begun()) {
+      turnAway(WaitAt::halfRead);
+      return reject({http::status::request_timeout, "too slow"});
+    }
+    if (state_ == State::held && !bodyDone_) {
+      turnAway(WaitAt::halfRead);
+      return tooSlow();
+    }
+    if (state_ == State::streaming) turnAway(WaitAt::answerWindow);
+    if (state_ == State::answering) turnAway(WaitAt::answerWrite);
     if (state_ != State::held) close();
   }
 
+  void noRoom(WaitAt place) {
+    turnAway(place);
+    if (parser_->is_header_done()) {
+      const auto call = readCall(parser_->get(), server_.config_);
+      if (const auto* asked = std::get_if<Call>(&call)) server_.holder_.turnedAway(asked->klass);
+    }
+    bodyDone_ = last_ = true;
+    reject(kNoRoom, server_.turnedAwayFor());
+  }
+
   // In the middle of a body that is passed on as it comes.
   void tooSlow() {
     server_.holder_.left(id_);
@@ -178,8 +234,11 @@
   // Ready for the next request.
   void listen() {
     state_ = State::reading;
+    waiting_.leave();
     begun_ = continued_ = inBody_ = false;
     bodyDone_ = true;
+    if (in_.size() == 0 && !reading_) in_.shrink_to_fit();  // a read that is pending goes into it
+    giveBack();
     idleSince_ = Clock::now();
     parser_.emplace();
     parser_->body_limit(kMostBody);
@@ -195,8 +254,24 @@
     const bool awaited = !bodyDone_ && (state_ == State::reading || state_ == State::held);
     if (!wantsMore()) {
       if (awaited) timer_.cancel();
-      return;
+      return server_.pressure_.watch(paused_, weak_from_this(), [this] { look(); });
     }
+    if (!hasRoom()) {
+      // Nothing of a body is waited for, so none of its time runs. What comes before a request is held finds
+      // room soon or is turned away.
+      if (state_ == State::reading && awaited) arm(server_.limits_.pausedMost);
+      if (state_ == State::held && awaited) timer_.cancel();
+      const auto again = [this] {
+        if (state_ == State::closed) return true;
+        if (!hasRoom()) return false;
+        paused_.clear();
+        read();
+        return true;
+      };
+      return server_.pressure_.waitForRoom(paused_, Account::clients, weak_from_this(), again,
+                                           [this] { look(); });
+    }
+    paused_.clear();
     reading_ = true;
     readAt_ = Clock::now();
     if (awaited) arm(server_.limits_.bodyGap);
@@ -205,6 +280,7 @@
                               reading_ = false;
                               if (error) return close();
                               in_.commit(n);
+                              if (state_ == State::reading || !bodyDone_) requestBytes_ += n;
                               if (state_ == State::lingering && !discard()) return;
                               if (inBody_ && !bodyDone_ && !inTime(n)) return;
                               go();
@@ -212,6 +288,28 @@
                             }));
   }
 
+  // The request is no longer held.
+  void giveBack() {
+    requestBytes_ = passed_ = 0;
+    room_.shrinkTo(cost(reading_ ? kStreamStep : 0));
+  }
+
+  // What this connection takes, and what it takes with `more` bytes read.
+  std::size_t cost(std::size_t more) const {
+    return std::max(kConnection, kBare + std::max(in_.capacity(), in_.size() + more) + requestBytes_ + more);
+  }
+
+  // Whether there is room for the next read. A long body gives way before the budget is used up.
+  bool hasRoom() {
+    if (!bodyDone_ && state_ == State::held && server_.pressure_.slow()) return false;
+    return room_.resize(cost(inBody_ ? kStreamStep : kReadStep));
+  }
+
+  // Nothing is read, so nothing but this tells that the client has left.
+  void look() {
+    if (state_ != State::closed && !reading_ && tcpTells_ && hasLeft(socket_)) close();
+  }
+
   bool wantsMore() const {
     if (!bodyDone_ && state_ != State::reading) return parser_->get().body().size() < kStreamStep;
     return in_.size() < kMostAhead;
@@ -243,6 +341,7 @@
     if (bodyDone_ && state_ != State::skipping) timer_.cancel();
     if (state_ == State::held) return offer();
     parser_->get().body().clear();
+    requestBytes_ = 0;
     if (bodyDone_ && state_ == State::skipping) next();
   }
 
@@ -252,6 +351,8 @@
     std::string& body = parser_->get().body();
     if (body.empty() && !bodyDone_) return read();
     const auto take = std::exchange(pull_, nullptr);
+    passed_ = body.size();
+    wait(bodyDone_ ? WaitAt::held : WaitAt::bodyWindow);
     take(std::exchange(body, {}), bodyDone_);
     if (state_ != State::closed) read();
   }
@@ -260,6 +361,8 @@
     if (!begun_) skipBlankLines();
     if (!begun_ && in_.size() > 0) {
       begun_ = true;
+      wait(WaitAt::halfRead);
+      server_.pressure_.noteDescriptors();
       if (!first_) arm(server_.limits_.wholeWithin);
     }
     Error error;
@@ -318,12 +421,13 @@
     version_ = message.version();
     auto call = readCall(message, server_.config_);
     if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
+    if (lane_ && !server_.hasRoom()) return noRoom(WaitAt::noRoom);
     Call& found = std::get<Call>(call);
     found.whole = false;
+    found.holds = cost(2 * kStreamStep) + requestBytes_;  // twice: here, and on its way to the worker
+    passed_ = requestBytes_;
     if (const auto length = parser_->content_length()) found.length = *length;
-    state_ = State::held;
-    id_ = server_.holder_.nextId();
-    server_.holder_.take(id_, found, std::move(message), shared_from_this());
+    hold(found, std::move(message));
   }
 
   void handle(ClientMessage&& message) {
@@ -332,11 +436,30 @@
     bodyDone_ = true;
     last_ = !message.keep_alive();
     if (message.target() == "/health/ready") return sayReady(message.method());
-    const auto call = readCall(message, server_.config_);
+    auto call = readCall(message, server_.config_);
     if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
+    if (lane_ && !server_.hasRoom()) {
+      server_.holder_.turnedAway(std::get<Call>(call).klass);
+      turnAway(WaitAt::noRoom);
+      return reject(kNoRoom, server_.turnedAwayFor());
+    }
+    std::get<Call>(call).holds = cost(0) + requestBytes_;
+    hold(std::get<Call>(call), std::move(message));
+  }
+
+  void hold(const Call& call, ClientMessage&& message) {
+    leaveLane();
     state_ = State::held;
+    wait(WaitAt::held);
     id_ = server_.holder_.nextId();
-    server_.holder_.take(id_, std::get<Call>(call), std::move(message), shared_from_this());
+    server_.holder_.take(id_, call, std::move(message), shared_from_this());
+  }
+
+  // There is room after all.
+  void leaveLane() {
+    if (!std::exchange(lane_, false)) return;
+    --server_.inLane_;
+    if (server_.connections_.size() - server_.inLane_ > server_.mostUsual()) server_.dropIdle();
   }
 
   void sayReady(http::verb method) {
@@ -346,7 +469,7 @@
   }
 
   // An answer from here: the request never reaches the holder.
-  void reject(const Rejection& why) {
+  void reject(const Rejection& why, irisring::Time retryAfter = 0) {
     server_.stats_.rejected += why.status != http::status::ok;
     if (why.status == http::status::request_timeout) bodyDone_ = last_ = true;
     if (!bodyDone_ && !parser_->is_header_done()) bodyDone_ = true;
@@ -354,7 +477,8 @@
     Answer text;
     text.status = why.status;
     text.body = std::string(why.why) + "\n";
-    answer(text);
+    text.retryAfter = retryAfter;
+    answer(std::move(text));
   }
 
   void write() {
@@ -368,18 +492,23 @@
   }
 
   void written() {
-    writing_.clear();
+    if (writing_.capacity() > kReadStep)
+      std::string().swap(writing_);
+    else
+      writing_.clear();
     if (!out_.empty()) return write();
     if (state_ == State::streaming) {
       timer_.cancel();
-      if (const auto room = std::exchange(room_, nullptr)) room();
+      if (const auto taken = std::exchange(taken_, nullptr)) taken();
       return;
     }
     if (state_ != State::answering) return;
-    room_ = nullptr;
+    taken_ = nullptr;
+    answerRoom_.release();
     if (!bodyDone_ && !continued_ && expects()) bodyDone_ = last_ = true;  // the body will not come
-    if (bodyDone_) return next();
+    if (bodyDone_ || (last_ && server_.pressure_.slow())) return next();
     state_ = State::skipping;
+    wait(WaitAt::halfRead);
     arm(server_.limits_.skipWithin);
     go();
     if (state_ != State::closed) read();
@@ -397,6 +526,8 @@
   // was still sending do not reset what it has not read yet.
   void linger() {
     state_ = State::lingering;
+    waiting_.leave();
+    requestBytes_ = 0;
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     discarded_ = 0;
@@ -408,18 +539,31 @@
   bool discard() {
     discarded_ += in_.size();
     in_.clear();
+    inBody_ = false;  // small steps from here on
+    if (!reading_) {
+      in_.shrink_to_fit();
+      room_.shrinkTo(cost(0));
+    }
     if (discarded_ <= server_.limits_.lingerBytes) return true;
     close();
     return false;
   }
 
   ClientServer& server_;
+  Ledger::Charge room_;        // of this connection and of the request on it
+  Ledger::Charge answerRoom_;  // of an answer that is being written
+  Places::Waiting waiting_;
+  BackPressure::Paused paused_;
+  std::size_t requestBytes_ = 0;  // come of the request and not yet given away
+  std::size_t passed_ = 0;        // of these, at the worker's side and not yet written
+  bool lane_;
+  const Clock::time_point openedAt_ = Clock::now();
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer in_;
   std::optional<http::request_parser<WindowBody>> parser_;
-  TakePiece pull_;              // waits for the next of the body
-  std::function<void()> room_;  // waits for the next piece of the answer to be written
+  TakePiece pull_;               // waits for the next of the body
+  std::function<void()> taken_;  // waits for the next piece of the answer to be written
   std::string out_, writing_;
   State state_ = State::reading;
   Clock::time_point idleSince_;
@@ -430,6 +574,7 @@
   bool continued_ = false;  // 100 Continue was considered
   bool last_ = false;       // the connection ends with the next answer
   bool reading_ = false;
+  bool tcpTells_ = false;                    // of its state, as it should at the start
   bool inBody_ = false;                      // a header has come, and a body follows
   bool bodyDone_ = true;                     // nothing more of the body is to come
   bool chunked_ = false, delimited_ = true;  // the answer that is passed on
@@ -439,10 +584,31 @@
   Clock::time_point readAt_;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Holder& holder)
-    : config_(config), limits_(limits), holder_(holder), acceptor_(io), pause_(io) {}
+ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Holder& holder,
+                           BackPressure& pressure)
+    : config_(config),
+      limits_(limits),
+      holder_(holder),
+      acceptor_(io),
+      pause_(io),
+      lane_(io),
+      pressure_(pressure),
+      chance_(config.seed ^ 0x5bd1e995) {
+  pressure_.places().read(WaitAt::acceptQueue, [this](double now) {
+    Places::Figures out;
+    out.waiting = queuedAt(acceptor_);
+    if (out.waiting > 0 && noRoom_.in(WaitAt::noRoom)) out.oldest = now - noRoom_.since();
+    return out;
+  });
+  refillLane();
+  pressure_.whenRoom([this] {
+    if (noRoom_.in(WaitAt::noRoom)) accept();
+  });
+}
 
 ClientServer::~ClientServer() {
+  pressure_.whenRoom(nullptr);
+  pressure_.places().read(WaitAt::acceptQueue, nullptr);
   for (const auto& connection : connections_) connection->abandon();
 }
 
@@ -471,11 +637,29 @@
 
 // At the limit an idle connection makes room for one that comes, but not before it does; where none is idle,
 // the next one to turn idle or end does.
-bool ClientServer::hasRoom() const { return connections_.size() < limits_.connections || oldestIdle(); }
+bool ClientServer::hasRoom() const {
+  if (pressure_.ledger().room(Account::clients) < kConnection) return false;
+  return connections_.size() - inLane_ < mostUsual() || oldestIdle();
+}
 
 void ClientServer::accept() {
-  if (!open_ || accepting_ || !hasRoom()) return;
+  if (!open_) return;
+  if (!hasRoom()) {
+    if (waiting_ && laneOpen_) return acceptToLane();
+    if (laneOpen_) return takeNext();
+    return openLane();
+  }
+  if (noRoom_.in(WaitAt::noRoom)) {
+    noRoom_.leave();
+    lane_.cancel();
+    laneOpen_ = false;
+  }
   if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
+  takeNext();
+}
+
+void ClientServer::takeNext() {
+  if (accepting_) return;
   if (!acceptor_.is_open()) return;
   accepting_ = true;
   acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
@@ -499,14 +683,98 @@
 }
 
 void ClientServer::add(tcp::socket socket) {
-  const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-  if (connections_.size() >= limits_.connections) dropIdle();
+  if (connections_.size() - inLane_ >= mostUsual()) dropIdle();
+  auto room = pressure_.ledger().open(Account::clients);
+  if (!room.resize(kConnection)) dropIdle();
+  if (!room.resize(kConnection))
+    return;  // asked for before: only while draining, when there is no other place
+  room.fix();
+  const auto connection = std::make_shared<Connection>(*this, std::move(socket), std::move(room), false);
   connections_.insert(connection);
   connection->start();  // goes on to accept
 }
 
+// Set aside from the start, so that one can be heard out where memory is what is short.
+void ClientServer::refillLane() {
+  while (laneRooms_.size() + inLane_ < limits_.lane()) {
+    auto room = pressure_.ledger().open(Account::clients);
+    if (!room.resize(kConnection)) return;
+    room.fix();
+    laneRooms_.push_back(std::move(room));
+  }
+}
+
+// All are busy. What comes waits in the kernel for a while, since most requests end soon.
+void ClientServer::openLane() {
+  if (noRoom_.in(WaitAt::noRoom)) return;
+  noRoom_.enter(pressure_.places(), WaitAt::noRoom, BackPressure::now());
+  if (limits_.lane() == 0) return;
+  lane_.expires_after(limits_.laneAfter);
+  lane_.async_wait([this](const Error& error) {
+    if (error || !noRoom_.in(WaitAt::noRoom)) return;
+    laneOpen_ = true;
+    accept();
+  });
+}
+
+void ClientServer::acceptToLane() {
+  if (!makeLaneRoom()) return;
+  auto room = std::move(laneRooms_.back());
+  laneRooms_.pop_back();
+  const auto connection =
+      std::make_shared<Connection>(*this, *std::exchange(waiting_, std::nullopt), std::move(room), true);
+  ++inLane_;
+  connections_.insert(connection);
+  connection->start();
+}
+
+// The oldest gives way once it has had its time to speak; until then the next one waits.
+bool ClientServer::makeLaneRoom() {
+  refillLane();
+  if (!laneRooms_.empty()) return true;
+  if (inLane_ == 0) return false;
+  std::shared_ptr<Connection> oldest;
+  for (const auto& connection : connections_)
+    if (connection->inLane() && (!oldest || connection->openedAt() < oldest->openedAt())) oldest = connection;
+  const auto until = oldest->openedAt() + limits_.laneLeast;
+  if (Clock::now() < until) {
+    lane_.expires_at(until);
+    lane_.async_wait([this](const Error& error) {
+      if (!error && noRoom_.in(WaitAt::noRoom)) accept();
+    });
+    return false;
+  }
+  pressure_.places().turnAway(WaitAt::noRoom);
+  oldest->close();  // goes on to accept by itself
+  return false;
+}
+
+// By chance, so that those turned away together do not come back together.
+irisring::Time ClientServer::turnedAwayFor() const {
+  const double most = config_.settings.maxRetryAfter;
+  const double lasts = std::max(pressure_.pressure().lasts(BackPressure::now()), kLeastAway);
+  return (most > 0 ? std::min(most, lasts) : lasts) * std::uniform_real_distribution<>(0.5, 1.0)(chance_);
+}
+
+double ClientServer::busyShare() const {
+  const auto& places = pressure_.places();
+  const std::size_t busy = places.waiting(WaitAt::halfRead) + places.waiting(WaitAt::held) +
+                           places.waiting(WaitAt::bodyWindow) + places.waiting(WaitAt::answerWindow) +
+                           places.waiting(WaitAt::answerWrite);
+  return static_cast<double>(busy) / static_cast<double>(std::max<std::size_t>(1, mostUsual()));
+}
+
+void ClientServer::trimIdle() {
+  const auto before = Clock::now() - limits_.idleLeast;
+  for (const auto& connection : std::vector(connections_.begin(), connections_.end()))
+    if (connection->idle() && connection->idleSince() < before) connection->close();
+}
+
 void ClientServer::remove(const std::shared_ptr<Connection>& connection) {
   connections_.erase(connection);
+  inLane_ -= connection->inLane();
+  refillLane();
+  pressure_.noteDescriptors();
   accept();
   if (connections_.empty() && !acceptor_.is_open() && done_) done_();
 }
@@ -514,7 +782,9 @@
 std::shared_ptr<ClientServer::Connection> ClientServer::oldestIdle() const {
   std::shared_ptr<Connection> oldest;
   for (const auto& connection : connections_)
-    if (connection->idle() && (!oldest || connection->idleSince() < oldest->idleSince())) oldest = connection;
+    if (connection->idle() && !connection->inLane() &&
+        (!oldest || connection->idleSince() < oldest->idleSince()))
+      oldest = connection;
   return oldest;
 }
 
@@ -535,6 +805,8 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
+  lane_.cancel();
+  noRoom_.leave();
 }
 
 void ClientServer::finishUp() {
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -1,6 +1,7 @@
 // The clients' side: the listener, client connections, readiness, and the writing of answers.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,10 +9,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
+#include "node/back_pressure.hpp"
 #include "node/call.hpp"
 #include "node/http.hpp"
 
@@ -22,6 +26,7 @@
   std::string body;
   std::string contentType = "text/plain";
   irisring::Time retryAfter = 0;  // ms; 0: no advice
+  Ledger::Charge room;            // of the body, until it is written
 };
 
 // An answer that is passed on as it comes.
@@ -37,10 +42,12 @@
 
   virtual ~Asker() = default;
   // The final answer, once for each request held.
-  virtual void answer(const Answer& answer) = 0;
+  virtual void answer(Answer&& answer) = 0;
   // Or its head, then its pieces, each once `room` was called for the one before.
   virtual void begin(const AnswerHead& head) = 0;
   virtual void pass(std::string&& piece, bool last, std::function<void()> room) = 0;
+  // The last piece comes with what holds it, until it is written.
+  virtual void keep(Ledger::Charge&& room) = 0;
   // What was begun cannot be finished, and the client can tell.
   virtual void cut() = 0;
   // The next of a body that is not held whole, later; never, if the client leaves.
@@ -58,12 +65,21 @@
                     const std::shared_ptr<Asker>& asker) = 0;
   // The client has gone; no answer is wanted.
   virtual void left(irisring::RequestId id) = 0;
+  // One of this class was refused before it could be held.
+  virtual void turnedAway(unsigned klass) = 0;
 };
 
 class ClientServer {
  public:
   struct Limits {
     std::size_t connections = 480;
+    // Of these, where others than these are all busy for `laneAfter`: a side lane in which a peer is heard as
+    // far as its header and turned away, so that a malformed or silent one is not left in the kernel's queue.
+    std::size_t lane() const { return std::min<std::size_t>(8, connections / 16); }
+    std::chrono::milliseconds laneAfter{500};
+    std::chrono::milliseconds laneLeast{1000};   // one in the lane gives way to the next after this
+    std::chrono::milliseconds pausedMost{1000};  // a request that comes and finds no room in memory
+    std::chrono::milliseconds idleLeast{2000};   // an idle connection may be closed after this
     std::chrono::milliseconds idleFor{75000};
     // A peer that sends no whole request is owed an error or a close within 3 s of connecting.
     std::chrono::milliseconds firstWithin{2500};  // a connection's first request, from its acceptance
@@ -84,7 +100,8 @@
     std::size_t mostBuffered = 0;  // bytes of one connection read and not yet understood
   };
 
-  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder);
+  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder,
+               BackPressure& pressure);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -95,6 +112,10 @@
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   std::size_t connections() const { return connections_.size(); }
+  // Of the connections that there may be, the part that has a request.
+  double busyShare() const;
+  // Under pressure: closes what has been idle for long enough.
+  void trimIdle();
   Stats takeStats() { return std::exchange(stats_, {}); }
 
   // From here on every answer ends its connection.
@@ -111,7 +132,14 @@
   class Connection;
 
   bool hasRoom() const;
+  std::size_t mostUsual() const { return limits_.connections - limits_.lane(); }
   void accept();
+  void takeNext();
+  void openLane();
+  void refillLane();
+  void acceptToLane();
+  bool makeLaneRoom();
+  irisring::Time turnedAwayFor() const;
   void acceptLater();
   void add(boost::asio::ip::tcp::socket socket);
   void remove(const std::shared_ptr<Connection>& connection);
@@ -122,13 +150,19 @@
   const Limits limits_;
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer pause_, lane_;
+  BackPressure& pressure_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
+  Places::Waiting noRoom_;                               // since when there is none
+  std::size_t inLane_ = 0;
+  std::vector<Ledger::Charge> laneRooms_;  // one for each place in the lane that is free
+  bool laneOpen_ = false;
   std::function<void()> done_;
   Stats stats_;
-  bool open_ = false;       // connections may come in
-  bool accepting_ = false;  // an accept is pending
+  mutable std::mt19937_64 chance_;  // for advice on when to come back; from the configured seed
+  bool open_ = false;               // connections may come in
+  bool accepting_ = false;          // an accept is pending
   bool draining_ = false;
 };
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr unsigned kLeastSockets = 64;
+constexpr double kMostMemoryMb = 1024 * 1024;  // a larger limit is taken for this one: no cap comes near it
 
 [[noreturn]] void bad(const std::string& what) { throw std::runtime_error("configuration: " + what); }
 
@@ -74,6 +75,15 @@
   return static_cast<unsigned>(std::min(value.get<double>(), 1e6));
 }
 
+// What is too small for the process is found at its start, where it is known who shares the limit.
+double readMemory(const json& file) {
+  const json::json_pointer at("/limits/memory_mb");
+  if (!file.contains(at)) return Config{}.memoryMb;
+  const json& value = file.at(at);
+  if (!value.is_number() || !(value.get<double>() > 0)) bad("limits.memory_mb is not a number above 0");
+  return std::min(value.get<double>(), kMostMemoryMb);
+}
+
 // The paths of all keys. Objects in an array are alike: it has the keys that all of them have.
 std::set<std::string> keysOf(const json& value, const std::string& at = "") {
   std::set<std::string> out;
@@ -130,6 +140,7 @@
   if (file.contains("ops") && !file["ops"].is_null()) out.ops = parseEndpoint(textOf(file, "ops"));
   if (file.contains("seed")) out.seed = parseSeed(textOf(file, "seed"));
   out.sockets = readSockets(file);
+  out.memoryMb = readMemory(file);
   if (file.contains("known")) out.known = file["known"].dump();
   if (!file.contains("settings") || !file["settings"].is_object()) bad("settings is missing");
   checkSettings(file["settings"]);
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -23,7 +23,9 @@
   std::string stateDir;  // what outlives the process in an upgrade lies here; empty: nothing does
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
-  std::string known;        // the list of workers as last had, in discovery's form; may be old
+  double memoryMb =
+      32;             // what the process may hold; where nothing is told, the least that the platform grants
+  std::string known;  // the list of workers as last had, in discovery's form; may be old
   irisring::Settings settings;
   irisring::HostSettings host;
   std::vector<std::string> keys;  // paths of all keys but those within `known`; a changed file has them all
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <stdexcept>
+#include <unordered_map>
 #include <utility>
 
 #include "node/config.hpp"
@@ -33,6 +34,7 @@
 constexpr auto kBackoffFirstEach = 20ms;
 constexpr auto kBackoffMostEach = 160ms;
 constexpr std::size_t kMostLine = std::size_t{1} << 20;
+constexpr std::size_t kParsed = 8;  // bytes that a byte of a line takes while it is read
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
   if (lifecycle == "Ready") return irisring::Phase::ready;
@@ -69,6 +71,23 @@
   }
 }
 
+void addTo(Roster& first, Roster&& next) {
+  first.generation = next.generation;
+  if (next.reset) {
+    first = std::move(next);
+    return;
+  }
+  std::unordered_map<std::string, std::size_t> at;
+  for (std::size_t i = 0; i < first.instances.size(); ++i) at[first.instances[i].id] = i;
+  for (Instance& instance : next.instances) {
+    const auto [found, fresh] = at.try_emplace(instance.id, first.instances.size());
+    if (fresh)
+      first.instances.push_back(std::move(instance));
+    else
+      first.instances[found->second] = std::move(instance);
+  }
+}
+
 // One watch after another: connect, ask for what changed since the last version, read lines until the
 // connection ends, breaks or falls silent, wait, begin again.
 class Discovery::Watch : public std::enable_shared_from_this<Watch> {
@@ -81,8 +100,11 @@
   }
 
  public:
-  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Crowd& crowd, Told told)
-      : socket_(io),
+  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Crowd& crowd, Told told,
+        BackPressure& pressure)
+      : pressure_(pressure),
+        room_(pressure.ledger().open(Account::discovery)),
+        socket_(io),
         timer_(io),
         agent_(agent),
         generation_(from),
@@ -95,8 +117,7 @@
   void open() {
     if (stopped_) return;
     ++round_;
-    in_.clear();
-    line_.clear();
+    forget();
     parser_.emplace();
     parser_->body_limit(boost::none);
     wait(kConnectWithin);
@@ -119,6 +140,7 @@
   std::optional<std::chrono::steady_clock::time_point> answeredAt() const { return answeredAt_; }
 
   void stop() {
+    forget();
     stopped_ = true;
     ++round_;
     timer_.cancel();
@@ -147,7 +169,36 @@
                       }));
   }
 
+  // Nothing is held of a line that will not be whole.
+  void forget() {
+    in_.clear();
+    line_.clear();
+    half_.leave();
+    paused_.clear();
+    room_.release();
+  }
+
+  // The line as it is and as it will be read, with what the next read brings.
+  bool hasRoom() { return room_.resize((line_.size() + in_.size() + kReadStep) * (1 + kParsed)); }
+
   void read() {
+    if (!hasRoom()) {
+      // Left in the network, so that discovery sends no more. Its silence is not counted as the agent's but
+      // for what `wait` has left, and then the watch is opened anew.
+      return pressure_.waitForRoom(
+          paused_, Account::discovery, weak_from_this(),
+          [this] {
+            if (!hasRoom()) return false;
+            readOn();
+            return true;
+          },
+          nullptr);
+    }
+    readOn();
+  }
+
+  void readOn() {
+    paused_.clear();
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
                               if (error) return again("ended");
                               in_.commit(n);
@@ -174,23 +225,43 @@
       generation_ = -1;  // the whole list mends what this line would have changed
       return again("malformed");
     }
+    if (line_.empty())
+      half_.leave();
+    else if (!half_.in(WaitAt::discoveryLine))
+      half_.enter(pressure_.places(), WaitAt::discoveryLine, BackPressure::now());
+    if (line_.size() > kMostLine) pressure_.places().turnAway(WaitAt::discoveryLine);
     if (done || line_.size() > kMostLine) return again("ended");
     read();
   }
 
   void takeLines() {
+    // Lines that have piled up while this gatekeeper is pressed are taken as one, with the latest of each
+    // worker.
+    const bool pressed = pressure_.pressure().stage() != Stage::none;
+    std::optional<Roster> piled;
     std::size_t from = 0;
     for (auto end = line_.find('\n'); end != std::string::npos; end = line_.find('\n', from)) {
       const std::string_view line = std::string_view(line_).substr(from, end - from);
       from = end + 1;
       if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;  // a heartbeat
-      const Roster roster = parseRoster(line);
-      generation_ = roster.generation;
+      Roster roster = parseRoster(line);
       ++stats_.lists;
+      if (piled)
+        addTo(*piled, std::move(roster));
+      else
+        piled = std::move(roster);
+      if (pressed && line_.find('\n', from) != std::string::npos) continue;
       backoff_ = backoffFirst_;
-      told_(roster);
+      generation_ = piled->generation;
+      told_(*piled);
+      piled.reset();
       if (stopped_) return;
     }
+    if (piled) {
+      backoff_ = backoffFirst_;
+      generation_ = piled->generation;
+      told_(*piled);
+    }
     line_.erase(0, from);
   }
 
@@ -198,6 +269,7 @@
     ++round_;
     Error ignored;
     socket_.close(ignored);
+    forget();
     if (stopped_) return;
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
@@ -211,6 +283,10 @@
     }));
   }
 
+  BackPressure& pressure_;
+  Ledger::Charge room_;
+  Places::Waiting half_;
+  BackPressure::Paused paused_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   tcp::endpoint agent_;
@@ -230,8 +306,8 @@
 };
 
 Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, const Crowd& crowd,
-                     Told told)
-    : watch_(std::make_shared<Watch>(io, agent, from, crowd, std::move(told))) {}
+                     Told told, BackPressure& pressure)
+    : watch_(std::make_shared<Watch>(io, agent, from, crowd, std::move(told), pressure)) {}
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
 Discovery::Stats Discovery::takeStats() { return watch_->takeStats(); }
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "irisring/decide.hpp"
+#include "node/back_pressure.hpp"
 
 namespace burlwind {
 
@@ -34,6 +35,9 @@
 // Throws std::runtime_error with one plain line.
 Roster parseRoster(std::string_view json);
 
+// What two lists that follow each other say together: the latest of each worker.
+void addTo(Roster& first, Roster&& next);
+
 class Discovery {
  public:
   using Told = std::function<void(const Roster&)>;
@@ -46,7 +50,7 @@
 
   // `from`: the version that is known already, or below 0.
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
-            const Crowd& crowd, Told told);
+            const Crowd& crowd, Told told, BackPressure& pressure);
   ~Discovery();
   // What happened since the last look, for the service log.
   struct Stats {
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -69,6 +69,26 @@
   return out;
 }
 
+// Throws where the limit does not hold one process.
+Ledger::Shares memoryOf(const Config& config) {
+  Room room;
+  room.limit = static_cast<std::size_t>(config.memoryMb * 1024 * 1024);
+  room.twoProcesses = config.acceptFd >= 0;
+  room.files = !config.stateDir.empty();
+  const Ledger::Shares out = sharesOf(room);
+  if (out.total > 0) return out;
+  const std::size_t least = leastLimit(room.twoProcesses, room.files);
+  throw std::runtime_error("configuration: limits.memory_mb is too small: it takes " +
+                           std::to_string((least + 1024 * 1024 - 1) / (1024 * 1024)) + " at least here");
+}
+
+Pressure::Limits pressureLimits(const Config& config) {
+  Time aim = 0;
+  for (const auto& klass : config.settings.classes)
+    if (klass.aim > 0) aim = aim > 0 ? std::min(aim, klass.aim) : klass.aim;
+  return Pressure::limitsFor(aim);
+}
+
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
@@ -81,9 +101,10 @@
 Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
     : io_(io),
       config_(config),
-      pool_(io, poolLimits(config), config.settings.reportFields,
+      pressure_(io, memoryOf(config), pressureLimits(config)),
+      pool_(io, poolLimits(config), config.settings.reportFields, pressure_,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config), *this),
+      server_(io, config_, serverLimits(config), *this, pressure_),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       exclusions_(config.stateDir),
       startedAt_(std::chrono::steady_clock::now()),
@@ -96,7 +117,9 @@
                     began(id, type, length);
                   },
                   [this](RequestId id, std::string&& piece) { passOn(id, std::move(piece)); }});
-  if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this));
+  pressure_.begin([this] { return std::max(server_.busyShare(), pool_.busyShare()); },
+                  [this](double excess) { pressed(excess); });
+  if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this), pressure_);
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
   applyExclusions({});
   takeLegacy();
@@ -108,7 +131,8 @@
   }
   discovery_ = std::make_unique<Discovery>(
       io, config_.discovery, from, Discovery::Crowd{config_.settings.gateways, config_.seed},
-      [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
+      [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); },
+      pressure_);
 }
 
 Gatekeeper::~Gatekeeper() = default;
@@ -139,7 +163,7 @@
   const irisring::Census census = gateway_.census(clock_.now());
   Metrics figures = metrics_;
   figures.attempts = pool_.attemptsWritten();
-  return telemetryText(figures, {held_.size(), census.listed, census.avoided});
+  return telemetryText(figures, {held_.size(), census.listed, census.avoided}, pressure_.telemetry());
 }
 
 bool Gatekeeper::exclude(const std::string& id) {
@@ -241,6 +265,29 @@
       server_.connections(), pool_.connections(), server.mostBuffered, pool.mostBuffered, discovery.read,
       discovery.longestLine, discovery.lists);
   served_ = refused_ = failed_ = 0;
+  pressure_.report();
+}
+
+// --- Back-pressure ---------------------------------------------------------------------------------------
+
+// Which requests pay for it is the module's choice; idle connections serve nobody.
+void Gatekeeper::pressed(double excess) {
+  const Pressure& now = pressure_.pressure();
+  if (pressure_.fewDescriptors()) server_.trimIdle();
+  gateway_.pressure(clock_.now(), {now.stage() != Stage::none, pressure_.slow(), now.share(), excess,
+                                   now.lasts(BackPressure::now())});
+}
+
+// One that is out for a request that the module has given up on. The module learns its end from a handler of
+// its own.
+void Gatekeeper::dropAttempt(RequestId id) {
+  auto end = pool_.giveUp(id, Result::cancelled);
+  if (!end) return;
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_), outcome = std::move(end->outcome)]() mutable {
+    if (alive.expired()) return;
+    outcome.finished = true;
+    gateway_.outcome(clock_.now(), outcome);
+  });
 }
 
 void Gatekeeper::reload(const Config& config) {
@@ -250,6 +297,9 @@
   config_.keys = config.keys;
   config_.discovery = config.discovery;
   pool_.retune(poolLimits(config_), config_.settings.reportFields);
+  pressure_.retune(pressureLimits(config_));
+  if (config.memoryMb != config_.memoryMb)
+    std::fprintf(stderr, "burlwind: limits.memory_mb stays at %g, as at the start\n", config_.memoryMb);
   for (const std::string& name : config_.host.classes)
     if (metrics_.classes.size() < kMostClasses) metrics_.classes.try_emplace(name);
   ++metrics_.reconfigOk;
@@ -292,8 +342,7 @@
                       const std::shared_ptr<Asker>& asker) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
-  const auto counts = metrics_.classes.find(config_.host.classes[call.klass]);
-  held.counts = counts == metrics_.classes.end() ? &uncounted_ : &counts->second;
+  held.counts = &countsOf(call.klass);
   held.message = std::move(message);
   held.asker = asker;
   held.patience = std::max(0.0, call.patience - kWayBack);
@@ -302,7 +351,19 @@
   // The time of one whose last byte is still to come has not begun; the clients' side bounds the wait for it.
   held.expires = now + held.patience + (held.streamed ? kMostUpload : 0);
   if (!held.streamed) setDeadline(id, held);
-  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+  pressure_.activity();
+  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize,
+                         static_cast<double>(call.holds)});
+}
+
+ClassCounts& Gatekeeper::countsOf(unsigned klass) {
+  const auto found = metrics_.classes.find(config_.host.classes[klass]);
+  return found == metrics_.classes.end() ? uncounted_ : found->second;
+}
+
+void Gatekeeper::turnedAway(unsigned klass) {
+  ++refused_;
+  ++countsOf(klass).busy;
 }
 
 void Gatekeeper::setDeadline(RequestId id, Held& held) {
@@ -371,15 +432,17 @@
   Outcome& outcome = end.outcome;
   const bool mine = held_.contains(outcome.id);
   outcome.finished = !mine || outcome.result == Result::ok;
+  pressure_.activity();
   if (mine && held_.at(outcome.id).answering) {
     finishStream(end);
   } else if (mine && outcome.result == Result::ok) {
     Answer served;
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
+    served.room = std::move(end.room);
     ++served_;
     ++held_.at(outcome.id).counts->success;
-    answer(outcome.id, served);
+    answer(outcome.id, std::move(served));
   }
   gateway_.outcome(clock_.now(), outcome);
 }
@@ -389,6 +452,7 @@
   if (found == held_.end()) return;
   found->second.answering = true;
   found->second.deadline.cancel();
+  gateway_.answering(clock_.now(), id);
   found->second.asker->begin({contentType, length});
 }
 
@@ -408,10 +472,12 @@
   ++(whole ? found->second.counts->success : found->second.counts->failure);
   const auto asker = std::move(found->second.asker);
   held_.erase(found);
-  if (whole)
+  if (whole) {
+    asker->keep(std::move(end.room));
     asker->pass(std::move(end.body), true, nullptr);
-  else
+  } else {
     asker->cut();
+  }
 }
 
 // --- From discovery --------------------------------------------------------------------------------------
@@ -485,7 +551,8 @@
   refusal.retryAfter = retryAfter;
   ++refused_;
   if (const auto found = held_.find(id); found != held_.end()) ++found->second.counts->busy;
-  answer(id, refusal);
+  dropAttempt(id);
+  answer(id, std::move(refusal));
 }
 
 void Gatekeeper::fail(RequestId id) {
@@ -493,8 +560,16 @@
   failure.status = http::status::bad_gateway;
   failure.body = "failed\n";
   ++failed_;
-  if (const auto found = held_.find(id); found != held_.end()) ++found->second.counts->failure;
-  answer(id, failure);
+  dropAttempt(id);
+  if (const auto found = held_.find(id); found != held_.end()) {
+    ++found->second.counts->failure;
+    if (found->second.answering) {  // its client has the beginning
+      const auto asker = std::move(found->second.asker);
+      held_.erase(found);
+      return asker->cut();
+    }
+  }
+  answer(id, std::move(failure));
 }
 
 void Gatekeeper::setTimer(Time wait, std::uint64_t tag) {
@@ -508,12 +583,12 @@
 void Gatekeeper::log(const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); }
 
 // The final answer. What comes later for this request finds nothing.
-void Gatekeeper::answer(RequestId id, const Answer& answer) {
+void Gatekeeper::answer(RequestId id, Answer&& answer) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   const auto asker = std::move(found->second.asker);
   held_.erase(found);
-  asker->answer(answer);
+  asker->answer(std::move(answer));
 }
 
 // The client's request with the time that is left; what concerns only the client's connection stays behind.
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "irisring/decide.hpp"
+#include "node/back_pressure.hpp"
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
@@ -55,6 +56,7 @@
   boost::asio::ip::tcp::endpoint opsAddress() const { return ops_->address(); }
   bool ready() const override { return ready_; }
   std::size_t held() const { return held_.size(); }
+  BackPressure& pressure() { return pressure_; }
 
  private:
   struct Held {
@@ -77,6 +79,7 @@
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
             const std::shared_ptr<Asker>& asker) override;
   void left(irisring::RequestId id) override;
+  void turnedAway(unsigned klass) override;
 
   // Operated
   bool readyToServe() const override;
@@ -98,7 +101,10 @@
   void expire(irisring::RequestId id);
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
-  void answer(irisring::RequestId id, const Answer& answer);
+  void answer(irisring::RequestId id, Answer&& answer);
+  ClassCounts& countsOf(unsigned klass);
+  void pressed(double excess);
+  void dropAttempt(irisring::RequestId id);
   void acceptOnceReady();
   void followExclusions();
   void applyExclusions(const std::set<std::string>& before);
@@ -118,6 +124,7 @@
   boost::asio::io_context& io_;
   Config config_;
   const ModuleClock clock_;
+  BackPressure pressure_;
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
@@ -136,6 +143,7 @@
   unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
   bool ready_ = false;
   bool draining_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is posted
 };
 
 }  // namespace burlwind
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -24,7 +24,7 @@
 };
 
 // In lines `svc.NAME:VALUE|c` (counts) and `|g` (as it is now), closed by a line EOF.
-inline std::string telemetryText(const Metrics& metrics, const Gauges& gauges) {
+inline std::string telemetryText(const Metrics& metrics, const Gauges& gauges, const std::string& more) {
   std::string out;
   const auto line = [&](const std::string& name, std::uint64_t value, const char* kind) {
     out += "svc." + name + ":" + std::to_string(value) + "|" + kind + "\n";
@@ -40,7 +40,7 @@
   line("inflight", gauges.inFlight, "g");
   line("hosts_listed", gauges.listed, "g");
   line("hosts_down", gauges.down, "g");
-  return out + "EOF\n";
+  return out + more + "EOF\n";
 }
 
 }  // namespace burlwind
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -15,7 +15,8 @@
 using Error = boost::system::error_code;
 using namespace std::chrono_literals;
 
-constexpr auto kAcceptPause = 50ms;  // after an accept that failed, for want of descriptors as a rule
+constexpr std::size_t kCaller = 8 * 1024;  // with its line and the longest answer, which is that of telemetry
+constexpr auto kAcceptPause = 50ms;        // after an accept that failed, for want of descriptors as a rule
 
 }  // namespace
 
@@ -29,12 +30,14 @@
   }
 
  public:
-  Caller(OpsServer& server, tcp::socket socket)
+  Caller(OpsServer& server, tcp::socket socket, Ledger::Charge room)
       : server_(server),
+        room_(std::move(room)),
         socket_(std::move(socket)),
         timer_(socket_.get_executor(), server.limits_.callWithin) {}
 
   void start() {
+    waiting_.enter(server_.pressure_.places(), WaitAt::opsCaller, BackPressure::now());
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) finish();
     }));
@@ -53,6 +56,8 @@
   // Ends it and tells nobody.
   void abandon() {
     closed_ = true;
+    waiting_.leave();
+    room_.release();
     timer_.cancel();
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
@@ -72,14 +77,16 @@
   }
 
   OpsServer& server_;
+  Ledger::Charge room_;
+  Places::Waiting waiting_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::string line_, out_;
   bool closed_ = false;
 };
 
-OpsServer::OpsServer(asio::io_context& io, const Limits& limits, Operated& operated)
-    : limits_(limits), operated_(operated), acceptor_(io), pause_(io) {}
+OpsServer::OpsServer(asio::io_context& io, const Limits& limits, Operated& operated, BackPressure& pressure)
+    : limits_(limits), operated_(operated), pressure_(pressure), acceptor_(io), pause_(io) {}
 
 OpsServer::~OpsServer() {
   for (const auto& caller : callers_) caller->abandon();
@@ -107,11 +114,15 @@
       });
       return;
     }
-    if (callers_.size() >= limits_.connections) {
+    // The operators' own part holds as many callers as there may be.
+    auto room = pressure_.ledger().open(Account::operators);
+    while (!callers_.empty() && (callers_.size() >= limits_.connections || !room.resize(kCaller))) {
+      pressure_.places().turnAway(WaitAt::opsCaller);
       callers_.front()->abandon();
       callers_.pop_front();
     }
-    callers_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
+    if (room.bytes() == 0 && !room.resize(kCaller)) return accept();
+    callers_.push_back(std::make_shared<Caller>(*this, std::move(socket), std::move(room)));
     callers_.back()->start();
     accept();
   });
--- a/src/node/ops_server.hpp
+++ b/src/node/ops_server.hpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 
+#include "node/back_pressure.hpp"
+
 namespace burlwind {
 
 // What carries the calls out.
@@ -31,7 +33,7 @@
     std::chrono::milliseconds callWithin{5000};
   };
 
-  OpsServer(boost::asio::io_context& io, const Limits& limits, Operated& operated);
+  OpsServer(boost::asio::io_context& io, const Limits& limits, Operated& operated, BackPressure& pressure);
   ~OpsServer();
   OpsServer(const OpsServer&) = delete;
   OpsServer& operator=(const OpsServer&) = delete;
@@ -48,6 +50,7 @@
 
   const Limits limits_;
   Operated& operated_;
+  BackPressure& pressure_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   std::deque<std::shared_ptr<Caller>> callers_;  // the oldest first
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -16,6 +16,12 @@
 using irisring::WorkerId;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t kConnection = 10752;  // a connection with its parser, a first buffer and what it brings
+constexpr std::size_t kBare = 2 * 1024;     // the same without buffer
+constexpr std::size_t kOrdinary =
+    16 * 1024;  // an attempt of more bytes leaves the last of the memory to others
+constexpr std::size_t kWindow = 2 * kStreamStep + 64;  // a piece of a body with its frame
+
 template <class T>
 bool parse(std::string_view text, T& value) {
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -58,12 +64,31 @@
 class WorkerPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(WorkerPool& pool, WorkerId to, const tcp::endpoint& at)
-      : worker(to), address(at), openedAtMs(unixNow()), pool_(pool), socket_(pool.io_), timer_(pool.io_) {}
+      : worker(to),
+        address(at),
+        openedAtMs(unixNow()),
+        pool_(pool),
+        room_(pool.pressure_.ledger().open(Account::workers)),
+        socket_(pool.io_),
+        timer_(pool.io_) {}
 
   const WorkerId worker;
   const tcp::endpoint address;
   const double openedAtMs;
 
+  // Whether there is room for an attempt of these bytes here.
+  bool hasRoomFor(const AttemptBytes& bytes) {
+    if (room_.bytes() < kConnection) {
+      if (!room_.resize(kConnection)) return false;
+      room_.fix();
+    }
+    outBytes_ = bytes.bytes.size() + (bytes.pull ? kWindow : 0);
+    const Ledger& ledger = pool_.pressure_.ledger();
+    const double mark = pool_.pressure_.pressure().limits().memory.high;
+    if (outBytes_ > kOrdinary && !ledger.staysUnder(mark, Account::workers, outBytes_)) return false;
+    return room_.resize(cost(0));
+  }
+
   void begin(RequestId id, unsigned attempt, AttemptBytes bytes, std::optional<Clock::duration> timeout) {
     outcome_ = Outcome{};
     outcome_.id = id;
@@ -78,6 +103,7 @@
     written_ = streaming_ = false;
     busy_ = true;
     freshParser();
+    wait(up_ ? WaitAt::attemptOut : WaitAt::connecting);
     if (up_)
       write();
     else
@@ -112,6 +138,9 @@
   }
 
   void rest() {
+    waiting_.leave();
+    in_.shrink_to_fit();
+    room_.shrinkTo(cost(0));
     giveUpAt_ = Clock::now() + pool_.limits_.idleFor;
     arm(giveUpAt_);
   }
@@ -119,6 +148,9 @@
   void close() {
     closed_ = true;
     pull_ = nullptr;
+    waiting_.leave();
+    paused_.clear();
+    room_.release();
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -132,6 +164,15 @@
     };
   }
 
+  void wait(WaitAt place) { waiting_.enter(pool_.pressure_.places(), place, BackPressure::now()); }
+
+  // What this connection takes, and what it takes with `more` bytes read.
+  std::size_t cost(std::size_t more) const {
+    const std::size_t body = parser_ ? parser_->get().body().capacity() : 0;
+    return std::max(kConnection, kBare + std::max(in_.capacity(), in_.size() + more) + body + more) +
+           outBytes_;
+  }
+
   void freshParser() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
@@ -154,6 +195,10 @@
   }
 
   void expire() {
+    if (busy_) {
+      const WaitAt place = pull_ ? WaitAt::bodyWindow : up_ ? WaitAt::attemptOut : WaitAt::connecting;
+      pool_.pressure_.places().turnAway(place);
+    }
     if (busy_ && (streaming_ || pull_))
       end(Result::reset);
     else if (busy_)
@@ -169,6 +214,7 @@
                             Error ignored;
                             socket_.set_option(tcp::no_delay(true), ignored);
                             up_ = true;
+                            wait(WaitAt::attemptOut);
                             read();
                             write();
                           }));
@@ -212,7 +258,20 @@
     write();
   }
 
+  // An answer that finds no room is left in the network; its attempt's time goes on.
   void read() {
+    if (reading_) return;
+    const std::size_t step = streaming_ ? kStreamStep : kReadStep;
+    if (!room_.resize(cost(step))) {
+      const auto again = [this] {
+        if (closed_ || reading_) return true;
+        if (!room_.resize(cost(streaming_ ? kStreamStep : kReadStep))) return false;
+        read();
+        return true;
+      };
+      return pool_.pressure_.waitForRoom(paused_, Account::workers, weak_from_this(), again, nullptr);
+    }
+    paused_.clear();
     reading_ = true;
     if (streaming_) arm(Clock::now() + pool_.limits_.silentFor);
     socket_.async_read_some(in_.prepare(streaming_ ? kStreamStep : kReadStep),
@@ -296,12 +355,16 @@
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
+    // The rest stays for what goes on standing here.
+    whole.room =
+        room_.split(std::min(answer.body().capacity(), room_.bytes() - std::min(room_.bytes(), kConnection)));
     const bool good = complete && written_ && in_.size() == 0 && answer.keep_alive() &&
                       answer.result() != http::status::switching_protocols && answer.result_int() >= 200;
     whole.body = std::move(answer.body());
     busy_ = streaming_ = false;
     used_ = true;
     std::string().swap(out_);
+    outBytes_ = 0;
     const auto self = shared_from_this();
     if (good) {
       pool_.keep(self);
@@ -322,6 +385,10 @@
   }
 
   WorkerPool& pool_;
+  Ledger::Charge room_;
+  Places::Waiting waiting_;
+  BackPressure::Paused paused_;
+  std::size_t outBytes_ = 0;  // of the attempt: what it sends, or one window of it
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer in_;
@@ -342,8 +409,12 @@
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
-                       Ended ended)
-    : io_(io), limits_(limits), reportFields_(std::move(reportFields)), ended_(std::move(ended)) {}
+                       BackPressure& pressure, Ended ended)
+    : io_(io),
+      limits_(limits),
+      reportFields_(std::move(reportFields)),
+      pressure_(pressure),
+      ended_(std::move(ended)) {}
 
 WorkerPool::~WorkerPool() {
   *alive_ = false;
@@ -405,12 +476,20 @@
       ++total_;
     }
   }
+  // Memory that is short here is no fault of the worker's: nothing is sent, and the module learns just that.
+  bool noMemory = connection && !connection->hasRoomFor(bytes);
+  while (noMemory && dropAnyIdle()) noMemory = !connection->hasRoomFor(bytes);
+  if (noMemory) {
+    drop(*connection);
+    connection.reset();
+    pressure_.places().turnAway(WaitAt::attemptOut);
+  }
   if (!connection) {
     Outcome outcome;
     outcome.id = id;
     outcome.attempt = attempt;
     outcome.worker = target;
-    outcome.result = Result::connectFailed;
+    outcome.result = noMemory ? Result::moot : Result::connectFailed;
     count(outcome.result);
     return report(outcome);
   }
@@ -442,8 +521,9 @@
 }
 
 // At the limit the connection that has stood idle longest at some worker makes room.
-bool WorkerPool::makeRoom() {
-  if (total_ < limits_.total) return true;
+bool WorkerPool::makeRoom() { return total_ < limits_.total || dropAnyIdle(); }
+
+bool WorkerPool::dropAnyIdle() {
   for (auto& [id, worker] : workers_) {
     if (worker.idle.empty()) continue;
     const Shared oldest = worker.idle.front();
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -1,6 +1,7 @@
 // Connections to workers: one attempt at a time on each, its outcome, and what stands idle between attempts.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "irisring/decide.hpp"
+#include "node/back_pressure.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -26,6 +28,7 @@
   std::string body;
   std::string contentType;
   bool streamed = false;
+  Ledger::Charge room;  // of the body
 };
 
 // What goes out: head and body in one, or their beginning and where the rest of the body comes from.
@@ -70,7 +73,7 @@
   };
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
-             Ended ended);
+             BackPressure& pressure, Ended ended);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
@@ -96,6 +99,10 @@
   // Attempts written whole since the start.
   std::uint64_t attemptsWritten() const { return written_; }
   std::size_t connections() const { return total_; }
+  // Of the connections that there may be, the part that has an attempt.
+  double busyShare() const {
+    return static_cast<double>(busy_.size()) / static_cast<double>(std::max<std::size_t>(1, limits_.total));
+  }
   Stats takeStats() { return std::exchange(stats_, {}); }
 
  private:
@@ -109,6 +116,7 @@
 
   Shared takeIdle(Worker& worker);
   bool makeRoom();
+  bool dropAnyIdle();
   void report(irisring::Outcome outcome);
   void finish(Connection& connection, AttemptEnd&& end);
   void keep(const Shared& connection);
@@ -120,6 +128,7 @@
   Limits limits_;
   Streams streams_;
   std::vector<std::string> reportFields_;
+  BackPressure& pressure_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "node/gatekeeper.hpp"
 
@@ -26,13 +27,27 @@
   std::string got;
   bool ended = false;
 
+  // Reads no more until `goOn`; what it was reading still comes.
+  void stall() { stalled_ = true; }
+  void goOn() {
+    if (std::exchange(stalled_, false) && !reading_) read();
+  }
+  // Sends this many bytes in pieces as the other side takes them.
+  void stream(std::size_t bytes) {
+    left_ += bytes;
+    if (!writing_) writeOn();
+  }
+  std::size_t streamed = 0;
+
   void read() {
+    reading_ = true;
     socket_.async_read_some(asio::buffer(piece_),
                             [self = shared_from_this(), this](const Error& error, std::size_t n) {
+                              reading_ = false;
                               got.append(piece_.data(), n);
                               if (error)
                                 ended = true;
-                              else
+                              else if (!stalled_)
                                 read();
                             });
   }
@@ -41,6 +56,11 @@
     asio::write(socket_, asio::buffer(text), ignored);
   }
   void end() { socket_.close(); }
+  // Leaves as one that dies does: what it had sent and the other side has not taken is lost.
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
   bool has(const std::string& text) const { return got.find(text) != std::string::npos; }
   std::size_t count(const std::string& text) const {
     std::size_t n = 0;
@@ -49,7 +69,25 @@
   }
 
  private:
+  void writeOn() {
+    if (left_ == 0 || ended) return;
+    writing_ = true;
+    static const std::string piece(16384, 'x');
+    socket_.async_write_some(asio::buffer(piece.data(), std::min(left_, piece.size())),
+                             [self = shared_from_this(), this](const Error& error, std::size_t n) {
+                               writing_ = false;
+                               streamed += n;
+                               left_ -= n;
+                               if (error)
+                                 ended = true;
+                               else
+                                 writeOn();
+                             });
+  }
+
   tcp::socket socket_;
+  std::size_t left_ = 0;
+  bool reading_ = false, writing_ = false, stalled_ = false;
   std::array<char, 4096> piece_{};
 };
 using PeerPtr = std::shared_ptr<Peer>;
