Let the longest-idle connection make room; tell local want apart from a failed connect

Need: at the limit an idle connection of whichever worker the hash table lists first was dropped, and with none idle the attempt was reported as a failed connect, which two in a row count against a worker that is well.

Change: the connection idle longest, whichever worker's, makes room; descriptors or memory that are short here end the attempt as moot (nothing sent, nobody blamed), counted as svc.backend_short. No other worker would do, since every idle connection has made room before. Further tests: every place is entered or read in the running program, an upgrade under pressure, the last of the memory left to small attempts.

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -163,6 +163,7 @@
   const irisring::Census census = gateway_.census(clock_.now());
   Metrics figures = metrics_;
   figures.attempts = pool_.attemptsWritten();
+  figures.shortHere = pool_.shortHere();
   return telemetryText(figures, {held_.size(), census.listed, census.avoided}, pressure_.telemetry());
 }
 
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -14,7 +14,8 @@
 // By the class's name: one that a reload drops keeps its counts.
 struct Metrics {
   std::map<std::string, ClassCounts> classes;
-  std::uint64_t attempts = 0;  // written whole to workers
+  std::uint64_t attempts = 0;   // written whole to workers
+  std::uint64_t shortHere = 0;  // not begun for want of descriptors or memory here
   std::uint64_t reconfigOk = 0, reconfigFailed = 0;
 };
 
@@ -35,6 +36,7 @@
     line("failure." + name, counts.failure, "c");
   }
   line("backend_calls", metrics.attempts, "c");
+  line("backend_short", metrics.shortHere, "c");
   line("reconfig_ok", metrics.reconfigOk, "c");
   line("reconfig_failed", metrics.reconfigFailed, "c");
   line("inflight", gauges.inFlight, "g");
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -137,7 +137,10 @@
     return error != asio::error::would_block;
   }
 
+  Clock::time_point restedAt() const { return restedAt_; }
+
   void rest() {
+    restedAt_ = Clock::now();
     waiting_.leave();
     in_.shrink_to_fit();
     room_.shrinkTo(cost(0));
@@ -397,7 +400,7 @@
   std::function<void(AttemptBytes::Take)> pull_;  // the rest of the body
   std::optional<Clock::duration> timeout_;
   Outcome outcome_;
-  Clock::time_point startedAt_, giveUpAt_;
+  Clock::time_point startedAt_, giveUpAt_, restedAt_;
   bool up_ = false;
   bool busy_ = false;
   bool used_ = false;     // has carried an attempt before
@@ -469,19 +472,27 @@
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
   Shared connection;
+  // What is short here, descriptors or memory, is no fault of the worker's: nothing is sent, and the module
+  // learns just that. No other worker would do, since every idle connection has made room before.
+  bool shortHere = false;
   if (worker != workers_.end() && !worker->second.retired) {
     connection = takeIdle(worker->second);
-    if (!connection && makeRoom()) {
+    shortHere = !connection && !makeRoom();
+    if (!connection && !shortHere) {
       connection = std::make_shared<Connection>(*this, target, worker->second.place.address);
       ++total_;
     }
   }
-  // Memory that is short here is no fault of the worker's: nothing is sent, and the module learns just that.
-  bool noMemory = connection && !connection->hasRoomFor(bytes);
-  while (noMemory && dropAnyIdle()) noMemory = !connection->hasRoomFor(bytes);
-  if (noMemory) {
-    drop(*connection);
-    connection.reset();
+  if (connection) {
+    shortHere = !connection->hasRoomFor(bytes);
+    while (shortHere && dropOldestIdle()) shortHere = !connection->hasRoomFor(bytes);
+    if (shortHere) {
+      drop(*connection);
+      connection.reset();
+    }
+  }
+  if (shortHere) {
+    ++short_;
     pressure_.places().turnAway(WaitAt::attemptOut);
   }
   if (!connection) {
@@ -489,7 +500,7 @@
     outcome.id = id;
     outcome.attempt = attempt;
     outcome.worker = target;
-    outcome.result = noMemory ? Result::moot : Result::connectFailed;
+    outcome.result = shortHere ? Result::moot : Result::connectFailed;
     count(outcome.result);
     return report(outcome);
   }
@@ -520,17 +531,17 @@
   return nullptr;
 }
 
-// At the limit the connection that has stood idle longest at some worker makes room.
-bool WorkerPool::makeRoom() { return total_ < limits_.total || dropAnyIdle(); }
-
-bool WorkerPool::dropAnyIdle() {
-  for (auto& [id, worker] : workers_) {
-    if (worker.idle.empty()) continue;
-    const Shared oldest = worker.idle.front();
-    drop(*oldest);
-    return true;
-  }
-  return false;
+// At the limit the connection that has stood idle longest makes room, whichever worker's it is: the least
+// likely to be wanted again.
+bool WorkerPool::makeRoom() { return total_ < limits_.total || dropOldestIdle(); }
+
+bool WorkerPool::dropOldestIdle() {
+  Shared oldest;
+  for (auto& [id, worker] : workers_)  // each has its oldest first
+    if (!worker.idle.empty() && (!oldest || worker.idle.front()->restedAt() < oldest->restedAt()))
+      oldest = worker.idle.front();
+  if (oldest) drop(*oldest);
+  return oldest != nullptr;
 }
 
 // Reports an end from a handler of its own: the module is never told anything from within one of its actions.
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -96,6 +96,8 @@
   void retune(const Limits& limits, std::vector<std::string> reportFields);
   // Closes what stands idle at this worker.
   void quiet(irisring::WorkerId id);
+  // Attempts that could not be begun for want of descriptors or memory here, since the start.
+  std::uint64_t shortHere() const { return short_; }
   // Attempts written whole since the start.
   std::uint64_t attemptsWritten() const { return written_; }
   std::size_t connections() const { return total_; }
@@ -116,7 +118,7 @@
 
   Shared takeIdle(Worker& worker);
   bool makeRoom();
-  bool dropAnyIdle();
+  bool dropOldestIdle();
   void report(irisring::Outcome outcome);
   void finish(Connection& connection, AttemptEnd&& end);
   void keep(const Shared& connection);
@@ -133,7 +135,7 @@
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
-  std::uint64_t written_ = 0;
+  std::uint64_t written_ = 0, short_ = 0;
   Stats stats_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -234,6 +234,23 @@
   until([&] { return after->has("served"); }, "the next one");
 }
 
+// A long attempt would take what is left over the high mark: it is not begun, and a small one still is.
+TEST_F(BackPressured, TheLastOfTheMemoryIsLeftToSmallAttempts) {
+  open();
+  auto workers = ledger().open(Account::workers);
+  ASSERT_TRUE(workers.resize(ledger().room(Account::workers) * 74 / 100));
+  ASSERT_LT(ledger().fullest().part(), 0.75);
+  const auto client = ask(longHead(200000));
+  client->stream(200000);
+  until([&] { return client->has("\r\n\r\n"); }, "an answer to the long one");
+  EXPECT_TRUE(client->has("HTTP/1.1 429")) << client->got;
+  EXPECT_EQ(worker.count("Req-Id: 00000000000000b1"), 0u);
+  EXPECT_NE(call("telemetry").find("svc.backend_short:1|c\n"), std::string::npos);
+  const auto other = small("00000000000000a1");
+  at("00000000000000a1")->send(reply("200 OK", "served"));
+  until([&] { return other->has("served"); }, "the small one");
+}
+
 // An answer that finds no room is not read; its request's deadline fires all the same.
 TEST_F(BackPressured, ADeadlineFiresWhileTheAnswerIsPaused) {
   open();
@@ -290,6 +307,82 @@
   until([&] { return done; }, "the end of the drain");
 }
 
+// A place in which nothing ever shows is one that the program does not report.
+TEST_F(BackPressured, TheProgramReportsEveryPlace) {
+  open();
+  until([&] { return !discovery.peers.empty() && discovery.peers[0]->has("\r\n\r\n"); }, "a watch");
+  discovery.peers[0]->send("HTTP/1.1 200 OK\r\n\r\n{\"generation\":2,");
+  const auto body = ask(longHead(200000));
+  body->stream(200000);
+  at("00000000000000b1")->send(reply("200 OK", "taken"));
+  until([&] { return body->has("taken"); }, "an answer");
+  const auto client = small("00000000000000a1");
+  at("00000000000000a1")
+      ->send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x'));
+  until([&] { return client->got.size() > 100000; }, "a long answer");
+  const auto half = ask(longHead(60000));
+  fill(8 * 1024, true);
+  half->stream(60000);
+  const auto late = dial(node->address());
+  const auto& places = node->pressure().places();
+  const auto all = [&] {
+    for (std::size_t i = 0; i < kPlaces; ++i)
+      if (!places.reports(static_cast<WaitAt>(i))) return false;
+    return true;
+  };
+  for (const char* call : {"readyz", "telemetry"}) EXPECT_FALSE(this->call(call).empty());
+  client->end();
+  body->end();  // no idle one is left to make room
+  const auto limit = std::chrono::steady_clock::now() + 20s;
+  while (!all() && std::chrono::steady_clock::now() < limit) {
+    io.restart();
+    io.run_one_for(50ms);
+  }
+  for (std::size_t i = 0; i < kPlaces; ++i)
+    EXPECT_TRUE(places.reports(static_cast<WaitAt>(i))) << kPlaceNames[i];
+}
+
+// The next process starts while the old one is pressed; each has its half, and the old one's end frees
+// nobody's.
+TEST_F(BackPressured, AnUpgradeUnderPressureHandsOver) {
+  tcp::acceptor held(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  json config = file();
+  config["limits"]["memory_mb"] = 28;
+  const auto inherit = [&] {
+    Config out = parseConfig(config.dump());
+    out.acceptFd = dup(held.native_handle());
+    return out;
+  };
+  node.emplace(io, inherit());
+  EXPECT_LT(ledger().total(), 2 * kMiB);
+  node->start();
+  until([&] { return !discovery.peers.empty() && discovery.peers[0]->has("\r\n\r\n"); }, "a watch");
+  const std::string list =
+      "HTTP/1.1 200 OK\r\n\r\n" + roster(2, true, json::array({entry("s-1", worker.text())})) + "\n";
+  discovery.peers[0]->send(list);
+  const auto old = dial(held.local_endpoint());
+  old->send(Ask().text());
+  const auto from = at("00000000000000a1");
+  fill(4 * 1024);
+  until([&] { return node->pressure().pressure().stage() != Stage::none; }, "pressure");
+  Gatekeeper next(io, inherit());
+  next.start();
+  until([&] { return discovery.peers.size() == 2 && discovery.peers[1]->has("\r\n\r\n"); }, "its watch");
+  discovery.peers[1]->send(list);
+  until([&] { return next.ready(); }, "its list");
+  bool done = false;
+  node->drain([&] { done = true; });
+  from->send(reply("200 OK", "done"));
+  until([&] { return old->has("\r\n\r\n") && old->ended; }, "an answer of the old one");
+  until([&] { return done; }, "the old one's end");
+  hog.release();
+  node.reset();
+  const auto late = dial(held.local_endpoint());
+  late->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+  until([&] { return late->has("HTTP/1.1 200"); }, "the new one serves");
+  EXPECT_EQ(next.pressure().pressure().stage(), Stage::none);
+}
+
 // All connections are busy; others come and say nothing, or nonsense.
 class Lane : public BackPressured {
  protected:
