Add the fleet lab: gatekeepers on loopback, stand-ins, faults between them, a judge

Change: tools/lab/ builds wingslip-lab (CLI11, toml++, spdlog). It starts N burlwind processes with their own configurations and ports, stand-in workers after the protocol page, a discovery agent and a fault proxy a link, drives open-loop Poisson load and judges every request: one answer within deadline and half a second, a 200 with the body a worker made for it, attempts within the cap, nothing new 2 s after a drain was told; closes excused only while their gatekeeper was down. Scenarios are read whole and checked (line and column) before anything starts.

--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,98 @@
+// The lab's scenario reader and judge, without processes: bad files are turned down whole with line and
+// column, and each rule of the judge breaks on the events that break it and on no others.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "judge.hpp"
+#include "scenario.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+std::string turnedDown(const std::string& text) {
+  const auto path =
+      std::filesystem::temp_directory_path() /
+      ("lab_test_" + std::to_string(::testing::UnitTest::GetInstance()->random_seed()) + ".toml");
+  std::ofstream(path) << text;
+  try {
+    readScenario(path.string());
+  } catch (const BadScenario& error) {
+    const std::string what = error.what();
+    return what.substr(what.find(".toml:") + 6);
+  }
+  return "accepted";
+}
+
+TEST(Scenario, BadFilesAreTurnedDownWithLineAndColumn) {
+  const std::string fleet = "[fleet]\ngatekeepers = 3\nworkers = 2\n";
+  EXPECT_EQ(turnedDown(fleet + "[[step]]\nat_s = 1\ndo = \"explode\"\ngatekeeper = 0\n"),
+            "6:6: unknown fault explode");
+  EXPECT_EQ(turnedDown(fleet + "[[step]]\nat_s = 3\ndo = \"kill\"\ngatekeeper = 0\n[[step]]\nat_s = 2\ndo = "
+                               "\"cont\"\ngatekeeper = 0\n"),
+            "9:8: at_s 2.000000 is before the step ahead of it");
+  EXPECT_EQ(turnedDown("[load]\nrate = -5\n"), "2:8: rate is -5.000000, not within 0.000000 to 20000.000000");
+  EXPECT_EQ(turnedDown(fleet + "[[step]]\nat_s = 1\ndo = \"kill\"\ngatekeeper = 3\n"),
+            "7:14: gatekeeper 3 does not exist (there are 3)");
+  EXPECT_EQ(turnedDown(fleet + "[[step]]\nat_s = 1\ndo = \"cut\"\nzone = \"q\"\n"), "7:8: no such zone");
+  EXPECT_EQ(turnedDown("[fleet\ngatekeepers = 3\n").substr(0, 12), "1:7: not TOM");
+  EXPECT_EQ(turnedDown("lenght_s = 3\n"), "1:12: unknown key lenght_s");
+  EXPECT_EQ(turnedDown("[[expect]]\nfate = \"served\"\n"), "1:1: an expectation needs min or max");
+}
+
+TEST(Scenario, TheShippedScenariosAreWellFormed) {
+  for (const auto& file : std::filesystem::directory_iterator(LAB_SCENARIOS)) {
+    const Scenario s = readScenario(file.path().string());
+    EXPECT_FALSE(s.steps.empty()) << file.path();
+    EXPECT_FALSE(s.expects.empty()) << file.path();
+  }
+}
+
+TEST(Judge, A200MustCarryTheWorkersBodyForThatRequest) {
+  Judge j(2);
+  j.sent(1, 0, 0, 1000), j.sent(2, 0, 0, 1000), j.sent(3, 0, 0, 1000);
+  j.attempt(1, 0, 0, 10, "body one"), j.attempt(2, 0, 0, 10, "body two");
+  j.answered(1, 20, 200, "body one");
+  j.answered(2, 20, 200, "body one");  // another request's body
+  j.answered(3, 20, 200, "made here");
+  EXPECT_EQ(j.count(Fate::served), 1);
+  EXPECT_EQ(j.count(Fate::wrong), 2);
+  EXPECT_EQ(j.brokenCount(), 2);
+}
+
+TEST(Judge, AttemptsPastTheCapAndAfterADrainBreakRules) {
+  Judge j(2);
+  j.sent(1, 0, 0, 1000);
+  j.attempt(1, 0, 0, 10, "a"), j.attempt(1, 1, 0, 20, "a");
+  EXPECT_EQ(j.brokenCount(), 0);
+  j.attempt(1, 2, 0, 30, "a");
+  EXPECT_EQ(j.brokenCount(), 1);
+  j.drainTold(0, 3, 100);
+  j.sent(2, 0, 0, 5000), j.sent(3, 1, 0, 5000);
+  j.attempt(2, 3, 0, 2100, "b");  // within 2 s
+  j.attempt(3, 3, 1, 2500, "c");  // another gatekeeper, not told
+  EXPECT_EQ(j.brokenCount(), 1);
+  j.attempt(2, 3, 0, 2101, "b");
+  EXPECT_EQ(j.brokenCount(), 2);
+  EXPECT_EQ(j.attempts([](int w) { return w == 3; }, 0, 1e9), 3);
+}
+
+TEST(Judge, ACloseIsALossUnlessItsGatekeeperWasDown) {
+  Judge j(3);
+  j.sent(1, 0, 0, 1000), j.sent(2, 1, 0, 1000), j.sent(3, 1, 500, 1000), j.sent(4, 1, 1600, 1000);
+  j.down(1, 100), j.up(1, 1500);
+  j.ended(1, 50, Fate::closed);
+  j.ended(2, 200, Fate::closed);
+  j.ended(3, 1400, Fate::lost);
+  j.answered(4, 3200, 503, "");  // late: 1,600 ms after it was sent, past its deadline and half a second
+  EXPECT_EQ(j.brokenCount(), 2);
+  EXPECT_EQ(j.count(Fate::closed, 1), 1);
+  j.sent(5, 0, 3000, 1000);
+  j.close(5000);
+  EXPECT_EQ(j.count(Fate::lost), 2);
+  EXPECT_EQ(j.brokenCount(), 3);
+}
+
+}  // namespace
+}  // namespace wingslip::lab
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -10,12 +10,16 @@
 [ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
 [ -e /usr/include/boost/beast/http.hpp ] || need+=(libboost-dev)
 [ -e /usr/include/nlohmann/json.hpp ] || need+=(nlohmann-json3-dev)
+[ -e /usr/include/CLI/CLI.hpp ] || need+=(libcli11-dev)
+[ -e /usr/include/toml++/toml.h ] || need+=(libtomlplusplus-dev)
+[ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure}/*.cpp src/{node,pressure}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure}/*.cpp src/{node,pressure}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
+  tools/lab/*.cpp tools/lab/*.hpp
 
 for kind in plain sanitize; do
   sanitize=OFF
--- /dev/null
+++ b/tools/lab/judge.cpp
@@ -0,0 +1,132 @@
+#include "judge.hpp"
+
+#include <algorithm>
+
+namespace wingslip::lab {
+namespace {
+constexpr double kDrainSlackMs = 2000;  // the developers' page: nothing new later than 2 s after told
+constexpr double kAnswerSlackMs =
+    500;  // PROTOCOL: up to half a second after its time earns nothing, later lost
+constexpr std::size_t kBrokenKept = 100;
+}  // namespace
+
+const char* nameOf(Fate fate) {
+  switch (fate) {
+    case Fate::open:
+      return "open";
+    case Fate::served:
+      return "served";
+    case Fate::refused:
+      return "refused";
+    case Fate::failed:
+      return "failed";
+    case Fate::closed:
+      return "closed";
+    case Fate::unreachable:
+      return "unreachable";
+    case Fate::lost:
+      return "lost";
+    case Fate::wrong:
+      return "wrong";
+  }
+  return "?";
+}
+
+void Judge::breaks(std::string what) {
+  ++brokenCount_;
+  if (broken_.size() < kBrokenKept) broken_.push_back(std::move(what));
+}
+
+void Judge::sent(std::uint64_t id, int gatekeeper, double atMs, double deadlineMs) {
+  requests_[id] = Request{id, gatekeeper, atMs, deadlineMs, 0, Fate::open, 0, false};
+}
+
+void Judge::answered(std::uint64_t id, double atMs, int status, const std::string& body) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return breaks("an answer for a request never sent");
+  Request& r = found->second;
+  if (r.fate != Fate::open) return breaks("request " + std::to_string(id) + " answered twice");
+  r.endMs = atMs, r.status = status;
+  if (status == 200) {
+    const auto made = bodies_.find(id);
+    const bool fromWorker = made != bodies_.end() &&
+                            std::find(made->second.begin(), made->second.end(), body) != made->second.end();
+    r.fate = fromWorker ? Fate::served : Fate::wrong;
+    if (!fromWorker) breaks("request " + std::to_string(id) + ": a 200 with a body no worker made for it");
+  } else {
+    r.fate = status == 429 || status == 503 ? Fate::refused : Fate::failed;
+  }
+  if (atMs > r.sentMs + r.deadlineMs + kAnswerSlackMs)
+    breaks("request " + std::to_string(id) + " answered " + std::to_string(atMs - r.sentMs) +
+           " ms after it was sent");
+}
+
+void Judge::ended(std::uint64_t id, double atMs, Fate fate) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.fate != Fate::open) return;
+  Request& r = found->second;
+  r.fate = fate, r.endMs = atMs;
+  r.excused = wasDown(r.gatekeeper, r.sentMs, atMs);
+  // A close or a silence of a gatekeeper that ran all along is a request taken and lost. One never
+  // connected was never taken.
+  if ((fate == Fate::closed || fate == Fate::lost) && !r.excused)
+    breaks("request " + std::to_string(id) + " at gatekeeper " + std::to_string(r.gatekeeper) + " " +
+           nameOf(fate) + " with no answer");
+}
+
+void Judge::attempt(std::uint64_t id, int worker, int gatekeeper, double atMs, const std::string& body) {
+  bodies_[id].push_back(body);
+  attemptLog_.emplace_back(worker, atMs);
+  if (++attempts_[id] > attemptsCap_)
+    breaks("request " + std::to_string(id) + ": attempt " + std::to_string(attempts_[id]) + " of a cap of " +
+           std::to_string(attemptsCap_));
+  const auto told = drained_.find({gatekeeper, worker});
+  if (told != drained_.end() && atMs > told->second + kDrainSlackMs)
+    breaks("gatekeeper " + std::to_string(gatekeeper) + " sent request " + std::to_string(id) +
+           " to worker " + std::to_string(worker) + " " + std::to_string(atMs - told->second) +
+           " ms after it was told it drains");
+}
+
+void Judge::drainTold(int gatekeeper, int worker, double atMs) {
+  drained_.try_emplace({gatekeeper, worker}, atMs);
+}
+void Judge::drainUndone(int gatekeeper, int worker) { drained_.erase({gatekeeper, worker}); }
+
+void Judge::down(int gatekeeper, double fromMs) {
+  auto& spans = downs_[gatekeeper];
+  if (spans.empty() || spans.back().second < fromMs) spans.emplace_back(fromMs, 1e18);
+}
+
+void Judge::up(int gatekeeper, double atMs) {
+  auto& spans = downs_[gatekeeper];
+  if (!spans.empty() && spans.back().second > atMs) spans.back().second = atMs;
+}
+
+bool Judge::wasDown(int gatekeeper, double fromMs, double toMs) const {
+  const auto found = downs_.find(gatekeeper);
+  if (found == downs_.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [&](const auto& span) { return span.first <= toMs && span.second >= fromMs; });
+}
+
+void Judge::close(double atMs) {
+  for (auto& [id, r] : requests_)
+    if (r.fate == Fate::open) ended(id, atMs, Fate::lost);
+}
+
+long Judge::count(Fate fate, std::optional<int> gatekeeper, double afterMs, double beforeMs) const {
+  return std::count_if(requests_.begin(), requests_.end(), [&](const auto& item) {
+    const Request& r = item.second;
+    return r.fate == fate && (!gatekeeper || r.gatekeeper == *gatekeeper) && r.sentMs >= afterMs &&
+           r.sentMs < beforeMs;
+  });
+}
+
+std::vector<double> Judge::servedTimes() const {
+  std::vector<double> out;
+  for (const auto& [id, r] : requests_)
+    if (r.fate == Fate::served) out.push_back(r.endMs - r.sentMs);
+  return out;
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/main.cpp
@@ -0,0 +1,51 @@
+// wingslip-lab: several gatekeepers on loopback, stand-in workers and discovery, faults between them.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+
+#include "fleet.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app{"wingslip-lab: plays a scenario of faults against several burlwind processes on 127.0.0.1"};
+  app.require_subcommand(1);
+  std::string scenarioPath, out = "lab-out";
+  int gatekeepers = 0, workers = 0;
+  wingslip::lab::RunOptions options;
+  std::error_code ignored;
+  options.burlwind =
+      (std::filesystem::read_symlink("/proc/self/exe", ignored).parent_path() / "burlwind").string();
+  CLI::App* run = app.add_subcommand("run", "play SCENARIO (TOML) and judge every request");
+  run->add_option("scenario", scenarioPath, "the scenario file")->required()->check(CLI::ExistingFile);
+  run->add_option("--gatekeepers", gatekeepers, "gatekeepers, in place of the file's")
+      ->check(CLI::Range(1, 300));
+  run->add_option("--workers", workers, "stand-in workers, in place of the file's")
+      ->check(CLI::Range(1, 1000));
+  run->add_option("--seed", options.seed, "seed of the load and the workers' times");
+  run->add_option("--out", out, "folder for configurations, logs and the report");
+  run->add_option("--burlwind", options.burlwind, "the program under test (default: beside this one)");
+  bool check = false;
+  run->add_flag("--check", check, "only read and check the scenario");
+  std::string reportDir;
+  CLI::App* report = app.add_subcommand("report", "print the summary of an earlier run");
+  report->add_option("dir", reportDir, "the run's --out folder")->required();
+  CLI11_PARSE(app, argc, argv);
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+  try {
+    if (*report) return wingslip::lab::report(reportDir);
+    const auto scenario = wingslip::lab::readScenario(scenarioPath, gatekeepers, workers);
+    if (check) return std::cout << "scenario " << scenario.name << ": well formed\n", 0;
+    options.out = out;
+    return wingslip::lab::play(scenario, options);
+  } catch (const wingslip::lab::BadScenario& error) {
+    std::cerr << "wingslip-lab: " << error.what() << "\n";
+    return 2;
+  } catch (const std::exception& error) {
+    std::cerr << "wingslip-lab: " << error.what() << "\n";
+    return 3;
+  }
+}
--- /dev/null
+++ b/tools/lab/net.cpp
@@ -0,0 +1,359 @@
+#include "net.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <cmath>
+#include <deque>
+#include <nlohmann/json.hpp>
+
+namespace wingslip::lab {
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Error = boost::system::error_code;
+
+namespace {
+
+constexpr auto kBeat = std::chrono::seconds(2);  // PROTOCOL: an empty line every 2 s while nothing changes
+constexpr std::size_t kPiece = 16384;
+
+tcp::acceptor listen(asio::io_context& io, unsigned short port = 0) {
+  tcp::acceptor acceptor(io);
+  const tcp::endpoint at(asio::ip::address_v4::loopback(), port);
+  acceptor.open(at.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(at);
+  acceptor.listen();
+  return acceptor;
+}
+
+void reset(tcp::socket& socket) {
+  Error ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+std::uint64_t hexId(std::string_view text) {
+  std::uint64_t id = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
+  return error == std::errc() && end == text.data() + text.size() ? id : 0;
+}
+
+}  // namespace
+
+// ---- Worker
+
+class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
+ public:
+  WorkerSession(Worker& worker, std::shared_ptr<tcp::socket> socket)
+      : w_(worker), socket_(std::move(socket)), timer_(w_.io_) {}
+
+  void read() {
+    request_ = {};
+    http::async_read(*socket_, buffer_, request_,
+                     [self = shared_from_this()](const Error& error, std::size_t) {
+                       if (error) return self->end();
+                       self->serve();
+                     });
+  }
+
+ private:
+  void end() { w_.open_.erase(socket_); }
+
+  void serve() {
+    const auto idHeader = request_.find("Req-Id");
+    if (idHeader == request_.end()) return answer(http::status::not_found, "no id\n", false);
+    const std::string idText(idHeader->value());
+    const std::uint64_t id = hexId(idText);
+    Error error;
+    const tcp::endpoint from = socket_->remote_endpoint(error);
+    const auto link = error ? w_.links_.end() : w_.links_.find(from.port());
+    const int gatekeeper = link == w_.links_.end() ? -1 : link->second;
+    const std::string body = "lab worker " + std::to_string(w_.index_) + " answers " + idText + "\n";
+    w_.judge_.attempt(id, w_.index_, gatekeeper, w_.nowMs_(), body);
+    if (w_.mode.silent) return;  // holds the connection and says nothing
+    if (w_.mode.draining || w_.inFlight >= w_.s_.workerInFlight)
+      return answer(http::status::service_unavailable, "declined\n", true);
+    ++w_.inFlight;
+    std::lognormal_distribution<double> service(std::log(std::max(w_.s_.serviceMs, 0.01)), w_.s_.spread);
+    double ms = service(w_.random_);
+    if (w_.s_.coldS > 0) {
+      const double age = (w_.nowMs_() - w_.startedMs_) / 1000;
+      ms *= 1 + 3 * std::max(0.0, 1 - age / w_.s_.coldS);
+    }
+    timer_.expires_after(std::chrono::microseconds(static_cast<long>(ms * 1000)));
+    timer_.async_wait([self = shared_from_this(), body](const Error& e) {
+      --self->w_.inFlight;
+      if (e) return self->end();
+      self->answer(http::status::ok, body, false);
+    });
+  }
+
+  void answer(http::status status, const std::string& body, bool declined) {
+    auto reply = std::make_shared<http::response<http::string_body>>(status, 11);
+    reply->set("Srv-Load", "inflight=" + std::to_string(w_.inFlight) + ",queue=0,util=" +
+                               std::to_string(std::min(1.0, w_.inFlight / double(w_.s_.workerInFlight))));
+    if (declined) reply->set("Srv-Declined", "1");
+    reply->body() = body;
+    reply->prepare_payload();
+    reply->keep_alive(true);
+    http::async_write(*socket_, *reply, [self = shared_from_this(), reply](const Error& error, std::size_t) {
+      if (error) return self->end();
+      self->read();
+    });
+  }
+
+  Worker& w_;
+  std::shared_ptr<tcp::socket> socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+};
+
+Worker::Worker(asio::io_context& io, int index, const Scenario& s, Judge& judge, const LinkOf& links,
+               std::function<double()> nowMs, std::uint64_t seed)
+    : io_(io), index_(index), s_(s), judge_(judge), links_(links), nowMs_(std::move(nowMs)), random_(seed) {
+  acceptor_ = std::make_unique<tcp::acceptor>(listen(io));
+  port_ = acceptor_->local_endpoint().port();
+  startedMs_ = -1e9;  // long warm
+  accept();
+}
+
+void Worker::accept() {
+  auto socket = std::make_shared<tcp::socket>(io_);
+  acceptor_->async_accept(*socket, [this, socket, acceptor = acceptor_.get()](const Error& error) {
+    if (error || acceptor != acceptor_.get()) return;
+    open_.insert(socket);
+    std::make_shared<WorkerSession>(*this, socket)->read();
+    accept();
+  });
+}
+
+void Worker::restart() {
+  acceptor_->close();
+  for (const auto& socket : std::set(open_)) reset(*socket);
+  open_.clear();
+  mode = {};
+  startedMs_ = nowMs_();
+  acceptor_ = std::make_unique<tcp::acceptor>(listen(io_, port_));
+  accept();
+}
+
+// ---- Agent
+
+struct Agent::Watch {
+  explicit Watch(tcp::socket s) : socket(std::move(s)) {}
+  tcp::socket socket;
+  std::deque<std::string> out;
+  bool writing = false;
+};
+
+Agent::Agent(asio::io_context& io, int gatekeeper, std::vector<Entry> list, Judge& judge,
+             std::function<double()> nowMs)
+    : io_(io),
+      gatekeeper_(gatekeeper),
+      list_(std::move(list)),
+      judge_(judge),
+      nowMs_(std::move(nowMs)),
+      acceptor_(listen(io)),
+      port_(acceptor_.local_endpoint().port()),
+      beat_(io) {
+  accept();
+  struct Beat {
+    Agent* a;
+    void operator()(const Error& error) const {
+      if (error) return;
+      if (!a->down_) {
+        for (const auto& watch : a->watches_) watch->out.push_back("1\r\n\n\r\n");
+        a->tell({});
+      }
+      a->beat_.expires_after(kBeat);
+      a->beat_.async_wait(*this);
+    }
+  };
+  beat_.expires_after(kBeat);
+  beat_.async_wait(Beat{this});
+}
+
+std::string Agent::listJson(bool resetAll, const std::vector<std::size_t>& only) const {
+  nlohmann::json instances = nlohmann::json::array();
+  auto add = [&](const Entry& e) {
+    instances.push_back({{"instanceId", e.id},
+                         {"hostPort", e.hostPort},
+                         {"zone", e.zone},
+                         {"machineType", "m"},
+                         {"cell", 0},
+                         {"lifecycle", e.lifecycle},
+                         {"weight", 1.0},
+                         {"startedAtMs", e.startedAtMs}});
+  };
+  if (resetAll)
+    for (const Entry& e : list_) add(e);
+  else
+    for (const std::size_t i : only) add(list_[i]);
+  return nlohmann::json{{"generation", generation_}, {"reset", resetAll}, {"instances", instances}}.dump();
+}
+
+void Agent::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error) return;
+    accept();
+    if (down_) {  // silent: the connection is held and nothing said; it ends with the gatekeeper's
+      auto held = std::make_shared<tcp::socket>(std::move(socket));
+      auto piece = std::make_shared<std::array<char, 512>>();
+      held->async_read_some(asio::buffer(*piece), [held, piece](const Error&, std::size_t) {});
+      return;
+    }
+    auto watch = std::make_shared<Watch>(std::move(socket));
+    auto buffer = std::make_shared<beast::flat_buffer>();
+    auto request = std::make_shared<http::request<http::empty_body>>();
+    http::async_read(
+        watch->socket, *buffer, *request, [this, watch, buffer, request](const Error& e, std::size_t) {
+          if (e) return;
+          const std::string target(request->target());
+          if (target.rfind("/registry/instances", 0) != 0) {
+            watch->out.push_back("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+          } else if (target.find("watch=1") != std::string::npos) {
+            std::string line = listJson(true, {}) + "\n";
+            char size[32];
+            std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+            watch->out.push_back(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                std::string(size) + line + "\r\n");
+            watches_.insert(watch);
+          } else {
+            const std::string body = listJson(true, {});
+            watch->out.push_back("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n" + body);
+          }
+          watches_.insert(watch);
+          tell({});
+        });
+  });
+}
+
+void Agent::change(std::size_t worker, const std::string& lifecycle, double startedAtMs) {
+  list_[worker].lifecycle = lifecycle;
+  if (startedAtMs > 0) list_[worker].startedAtMs = startedAtMs;
+  ++generation_;
+  untold_.push_back(worker);
+  if (!down_) tell(untold_);
+}
+
+void Agent::setDown(bool down) {
+  down_ = down;
+  if (!down_ && !untold_.empty()) tell(untold_);
+}
+
+// Writes what each watch has waiting; with `changed`, a line of those entries first, and their drains to the
+// judge.
+void Agent::tell(const std::vector<std::size_t>& changed) {
+  if (!changed.empty()) {
+    std::string line = listJson(false, changed) + "\n";
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    for (const auto& watch : watches_) watch->out.push_back(std::string(size) + line + "\r\n");
+    for (const std::size_t w : changed) {
+      if (list_[w].lifecycle == "Ready")
+        judge_.drainUndone(gatekeeper_, static_cast<int>(w));
+      else
+        judge_.drainTold(gatekeeper_, static_cast<int>(w), nowMs_());
+    }
+    untold_.clear();
+  }
+  for (const auto& watch : std::set(watches_)) {
+    if (watch->writing || watch->out.empty()) continue;
+    watch->writing = true;
+    auto text = std::make_shared<std::string>(std::move(watch->out.front()));
+    watch->out.pop_front();
+    asio::async_write(watch->socket, asio::buffer(*text),
+                      [this, watch, text](const Error& error, std::size_t) {
+                        watch->writing = false;
+                        if (error) return void(watches_.erase(watch));
+                        tell({});
+                      });
+  }
+}
+
+// ---- Proxy
+
+struct Proxy::Pair : std::enable_shared_from_this<Pair> {
+  Pair(Proxy& p, tcp::socket d) : proxy(p), down(std::move(d)), up(p.io_) {}
+  Proxy& proxy;
+  tcp::socket down, up;
+  int open = 2;
+
+  void start() {
+    if (proxy.mode_ == LinkMode::blackhole) return pump(down, up, true);
+    up.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), proxy.workerPort_),
+                     [self = shared_from_this()](const Error& error) {
+                       if (error) return self->kill();
+                       Error ignored;
+                       self->proxy.links_[self->up.local_endpoint(ignored).port()] = self->proxy.gatekeeper_;
+                       self->pump(self->down, self->up, true);
+                       self->pump(self->up, self->down, false);
+                     });
+  }
+  void kill() {
+    reset(down), reset(up);
+    proxy.pairs_.erase(shared_from_this());
+  }
+  // Moves what `from` says to `to`, piece by piece, as the link's mode is when the piece comes.
+  void pump(tcp::socket& from, tcp::socket& to, bool towardsWorker) {
+    auto piece = std::make_shared<std::array<char, kPiece>>();
+    from.async_read_some(asio::buffer(*piece), [self = shared_from_this(), &from, &to, towardsWorker, piece](
+                                                   const Error& error, std::size_t n) {
+      if (error == asio::error::eof) {
+        Error ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+        if (--self->open == 0) self->kill();
+        return;
+      }
+      if (error) return self->kill();
+      const LinkMode mode = self->proxy.mode_;
+      if (mode == LinkMode::cut) return self->kill();
+      if (mode == LinkMode::blackhole || !to.is_open() || (mode == LinkMode::oneway && !towardsWorker))
+        return self->pump(from, to, towardsWorker);  // heard and dropped
+      auto write = [self, &from, &to, towardsWorker, piece, n] {
+        asio::async_write(to, asio::buffer(piece->data(), n),
+                          [self, &from, &to, towardsWorker, piece](const Error& e, std::size_t) {
+                            if (e) return self->kill();
+                            self->pump(from, to, towardsWorker);
+                          });
+      };
+      if (mode != LinkMode::delay) return write();
+      auto timer = std::make_shared<asio::steady_timer>(self->proxy.io_);
+      timer->expires_after(std::chrono::microseconds(static_cast<long>(self->proxy.delayMs_ * 1000)));
+      timer->async_wait([timer, write](const Error&) { write(); });
+    });
+  }
+};
+
+Proxy::Proxy(asio::io_context& io, int gatekeeper, unsigned short workerPort, LinkOf& links)
+    : io_(io),
+      gatekeeper_(gatekeeper),
+      workerPort_(workerPort),
+      links_(links),
+      acceptor_(listen(io)),
+      port_(acceptor_.local_endpoint().port()) {
+  accept();
+}
+
+void Proxy::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error) return;
+    accept();
+    if (mode_ == LinkMode::cut) return reset(socket);  // as a machine that is back resets
+    auto pair = std::make_shared<Pair>(*this, std::move(socket));
+    pairs_.insert(pair);
+    pair->start();
+  });
+}
+
+void Proxy::set(LinkMode mode, double delayMs) {
+  mode_ = mode, delayMs_ = delayMs;
+  if (mode == LinkMode::cut)
+    for (const auto& pair : std::set(pairs_)) pair->kill();
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/net.hpp
@@ -0,0 +1,116 @@
+// The lab's stand-ins on one Asio loop: workers after the protocol page, a discovery agent for each
+// gatekeeper, and a fault proxy on each link from a gatekeeper to a worker.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "judge.hpp"
+
+namespace wingslip::lab {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+// Which gatekeeper's link a connection to a worker came over: the proxy's local port of its upstream socket.
+using LinkOf = std::map<unsigned short, int>;
+
+struct WorkerMode {
+  bool silent = false;    // takes requests, says nothing
+  bool draining = false;  // turns new ones away with Srv-Declined
+};
+
+// A stand-in worker: 200 with a body of its own for the request, after a seeded log-normal service time; past
+// `Scenario::workerInFlight` requests or while draining, 503 with `Srv-Declined: 1`; no Req-Id, 404.
+class Worker {
+ public:
+  Worker(asio::io_context& io, int index, const Scenario& s, Judge& judge, const LinkOf& links,
+         std::function<double()> nowMs, std::uint64_t seed);
+  unsigned short port() const { return port_; }
+  void restart();  // as a new process under the same address: all connections reset, cold again
+  WorkerMode mode;
+  int inFlight = 0;
+
+ private:
+  void accept();
+  friend class WorkerSession;
+  asio::io_context& io_;
+  int index_;
+  const Scenario& s_;
+  Judge& judge_;
+  const LinkOf& links_;
+  std::function<double()> nowMs_;
+  std::mt19937_64 random_;
+  std::unique_ptr<tcp::acceptor> acceptor_;
+  unsigned short port_ = 0;
+  double startedMs_ = 0;
+  std::set<std::shared_ptr<tcp::socket>> open_;
+};
+
+// The discovery agent on one gatekeeper's machine: `GET /registry/instances` and its watch.
+class Agent {
+ public:
+  struct Entry {
+    std::string id, hostPort, zone, lifecycle = "Ready";
+    double startedAtMs = 0;
+  };
+  Agent(asio::io_context& io, int gatekeeper, std::vector<Entry> list, Judge& judge,
+        std::function<double()> nowMs);
+  unsigned short port() const { return port_; }
+  // A worker changes; watches are told at once (unless the agent is down), and drains go to the judge.
+  void change(std::size_t worker, const std::string& lifecycle, double startedAtMs);
+  void setDown(bool down);
+
+ private:
+  struct Watch;
+  void accept();
+  std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
+  void tell(const std::vector<std::size_t>& changed);
+  asio::io_context& io_;
+  int gatekeeper_;
+  std::vector<Entry> list_;
+  Judge& judge_;
+  std::function<double()> nowMs_;
+  tcp::acceptor acceptor_;
+  unsigned short port_;
+  long generation_ = 1;
+  bool down_ = false;
+  std::vector<std::size_t> untold_;
+  std::set<std::shared_ptr<Watch>> watches_;
+  asio::steady_timer beat_;
+};
+
+enum class LinkMode { pass, cut, blackhole, oneway, delay };
+
+// A fault proxy between one gatekeeper and one worker.
+class Proxy {
+ public:
+  Proxy(asio::io_context& io, int gatekeeper, unsigned short workerPort, LinkOf& links);
+  unsigned short port() const { return port_; }
+  void set(LinkMode mode, double delayMs = 0);
+
+ private:
+  struct Pair;
+  void accept();
+  asio::io_context& io_;
+  int gatekeeper_;
+  unsigned short workerPort_;
+  LinkOf& links_;
+  tcp::acceptor acceptor_;
+  unsigned short port_;
+  LinkMode mode_ = LinkMode::pass;
+  double delayMs_ = 0;
+  std::set<std::shared_ptr<Pair>> pairs_;
+};
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scenario.cpp
@@ -0,0 +1,183 @@
+#include "scenario.hpp"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace wingslip::lab {
+namespace {
+
+const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",
+                                              "restart", "hup",  "agent_down", "agent_up"};
+const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "heal"};
+const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
+const std::set<std::string> kFates{"served",      "refused", "failed", "closed",
+                                   "unreachable", "lost",    "wrong",  "attempts"};
+
+class Reader {
+ public:
+  explicit Reader(std::string path) : path_(std::move(path)) {}
+
+  [[noreturn]] void bad(const toml::source_region& at, const std::string& what) const {
+    std::ostringstream out;
+    out << path_ << ":" << at.begin.line << ":" << at.begin.column << ": " << what;
+    throw BadScenario(out.str());
+  }
+
+  // A number of the table, within [least, most]; `fallback` where it is missing.
+  template <typename T>
+  T number(const toml::table& table, const char* key, T fallback, double least, double most) const {
+    const toml::node* node = table.get(key);
+    if (!node) return fallback;
+    std::optional<double> value = node->value<double>();
+    if (!value) bad(node->source(), std::string(key) + " is not a number");
+    if (*value < least || *value > most)
+      bad(node->source(), std::string(key) + " is " + std::to_string(*value) + ", not within " +
+                              std::to_string(least) + " to " + std::to_string(most));
+    return static_cast<T>(*value);
+  }
+
+  std::optional<int> index(const toml::table& table, const char* key, int count, const char* of) const {
+    const toml::node* node = table.get(key);
+    if (!node) return std::nullopt;
+    const std::optional<std::int64_t> value = node->value<std::int64_t>();
+    if (!value || *value < 0 || *value >= count)
+      bad(node->source(), std::string(of) + " " + (value ? std::to_string(*value) : "?") +
+                              " does not exist (there are " + std::to_string(count) + ")");
+    return static_cast<int>(*value);
+  }
+
+  void onlyKeys(const toml::table& table, const std::set<std::string>& keys) const {
+    for (const auto& [key, node] : table)
+      if (!keys.contains(std::string(key.str()))) bad(node.source(), "unknown key " + std::string(key.str()));
+  }
+
+ private:
+  std::string path_;
+};
+
+}  // namespace
+
+Scenario readScenario(const std::string& path, int gatekeepers, int workers) {
+  toml::table file;
+  try {
+    file = toml::parse_file(path);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream out;
+    out << path << ":" << error.source().begin.line << ":" << error.source().begin.column
+        << ": not TOML: " << error.description();
+    throw BadScenario(out.str());
+  }
+  const Reader r(path);
+  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "step", "expect"});
+  Scenario s;
+  s.name = file["name"].value_or(std::string("unnamed"));
+  s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
+  if (const toml::table* fleet = file["fleet"].as_table()) {
+    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap"});
+    s.gatekeepers = r.number(*fleet, "gatekeepers", s.gatekeepers, 1, 300);
+    s.workers = r.number(*fleet, "workers", s.workers, 1, 1000);
+    s.attemptsCap = r.number(*fleet, "attempts_cap", s.attemptsCap, 1, 10);
+    if (const toml::array* zones = (*fleet)["zones"].as_array()) {
+      s.zones.clear();
+      for (const toml::node& zone : *zones) {
+        if (!zone.is_string()) r.bad(zone.source(), "a zone is named by a string");
+        s.zones.push_back(*zone.value<std::string>());
+      }
+      if (s.zones.empty()) r.bad(fleet->source(), "zones is empty");
+    }
+  }
+  if (gatekeepers > 0) s.gatekeepers = gatekeepers;
+  if (workers > 0) s.workers = workers;
+  if (const toml::table* load = file["load"].as_table()) {
+    r.onlyKeys(*load, {"rate", "deadline_ms", "customers", "edit_share", "most_in_flight"});
+    s.rate = r.number(*load, "rate", s.rate, 0, 20000);
+    s.deadlineMs = r.number(*load, "deadline_ms", s.deadlineMs, 50, 60000);
+    s.customers = r.number(*load, "customers", s.customers, 1, 1e6);
+    s.editShare = r.number(*load, "edit_share", s.editShare, 0, 1);
+    s.mostInFlight = r.number(*load, "most_in_flight", s.mostInFlight, 1, 100000);
+  }
+  if (s.rate * s.lengthS > 200000)
+    r.bad(file.source(), "more than 200,000 requests: lower load.rate or length_s");
+  if (const toml::table* worker = file["worker"].as_table()) {
+    r.onlyKeys(*worker, {"service_ms", "spread", "most_in_flight", "cold_s"});
+    s.serviceMs = r.number(*worker, "service_ms", s.serviceMs, 0, 60000);
+    s.spread = r.number(*worker, "spread", s.spread, 0, 3);
+    s.workerInFlight = r.number(*worker, "most_in_flight", s.workerInFlight, 1, 100000);
+    s.coldS = r.number(*worker, "cold_s", s.coldS, 0, 600);
+  }
+  double last = 0;
+  if (const toml::array* steps = file["step"].as_array()) {
+    for (const toml::node& node : *steps) {
+      const toml::table* table = node.as_table();
+      if (!table) r.bad(node.source(), "a step is a table: [[step]]");
+      r.onlyKeys(*table, {"at_s", "do", "gatekeeper", "worker", "zone", "delay_ms"});
+      Step step;
+      step.line = static_cast<int>(table->source().begin.line);
+      if (!table->get("at_s")) r.bad(table->source(), "a step has no at_s");
+      step.atS = r.number(*table, "at_s", 0.0, -1e9, 1e9);
+      if (step.atS < last)
+        r.bad(table->get("at_s")->source(),
+              "at_s " + std::to_string(step.atS) + " is before the step ahead of it");
+      if (step.atS > s.lengthS) r.bad(table->get("at_s")->source(), "at_s is after the end of the run");
+      last = step.atS;
+      const toml::node* what = table->get("do");
+      if (!what || !what->is_string()) r.bad(table->source(), "a step has no do = \"...\"");
+      step.what = *what->value<std::string>();
+      step.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
+      step.worker = r.index(*table, "worker", s.workers, "worker");
+      if (const toml::node* zone = table->get("zone")) {
+        step.zone = zone->value<std::string>();
+        if (!step.zone || std::find(s.zones.begin(), s.zones.end(), *step.zone) == s.zones.end())
+          r.bad(zone->source(), "no such zone");
+      }
+      step.delayMs = r.number(*table, "delay_ms", 0.0, 0, 60000);
+      const bool onWorkers = step.worker || step.zone;
+      if (kGatekeeperFaults.contains(step.what)) {
+        if (!step.gatekeeper) r.bad(what->source(), step.what + " needs a gatekeeper");
+      } else if (kLinkFaults.contains(step.what) || kWorkerFaults.contains(step.what)) {
+        if (!onWorkers) r.bad(what->source(), step.what + " needs a worker or a zone");
+        if (kWorkerFaults.contains(step.what) && step.gatekeeper)
+          r.bad(what->source(), step.what + " is a worker's: it takes no gatekeeper");
+      } else {
+        r.bad(what->source(), "unknown fault " + step.what);
+      }
+      if (step.what == "delay" && !(step.delayMs > 0)) r.bad(what->source(), "delay needs delay_ms above 0");
+      s.steps.push_back(step);
+    }
+  }
+  if (const toml::array* expects = file["expect"].as_array()) {
+    for (const toml::node& node : *expects) {
+      const toml::table* table = node.as_table();
+      if (!table) r.bad(node.source(), "an expectation is a table: [[expect]]");
+      r.onlyKeys(*table, {"fate", "gatekeeper", "worker", "zone", "after_s", "before_s", "min", "max"});
+      Expect e;
+      e.line = static_cast<int>(table->source().begin.line);
+      const toml::node* fate = table->get("fate");
+      if (!fate || !fate->is_string() || !kFates.contains(*fate->value<std::string>()))
+        r.bad(fate ? fate->source() : table->source(),
+              "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts");
+      e.fate = *fate->value<std::string>();
+      e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
+      e.worker = r.index(*table, "worker", s.workers, "worker");
+      if (const toml::node* zone = table->get("zone")) {
+        e.zone = zone->value<std::string>();
+        if (!e.zone || std::find(s.zones.begin(), s.zones.end(), *e.zone) == s.zones.end())
+          r.bad(zone->source(), "no such zone");
+      }
+      if ((e.worker || e.zone) != (e.fate == "attempts"))
+        r.bad(table->source(), "attempts are counted at a worker or a zone, and only they");
+      e.afterS = r.number(*table, "after_s", 0.0, 0, 1e9);
+      e.beforeS = r.number(*table, "before_s", 1e9, 0, 1e9);
+      if (table->get("min")) e.min = r.number(*table, "min", 0L, 0, 1e9);
+      if (table->get("max")) e.max = r.number(*table, "max", 0L, 0, 1e9);
+      if (!e.min && !e.max) r.bad(table->source(), "an expectation needs min or max");
+      s.expects.push_back(e);
+    }
+  }
+  return s;
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scenario.hpp
@@ -0,0 +1,69 @@
+// A lab scenario: the fleet, the load and the faults at their times, read whole from TOML and checked before
+// anything starts. Pure: no I/O but the read of the file.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace wingslip::lab {
+
+// A scenario that cannot be played: `what` names the file, line and column ("crash.toml:7:1: ...").
+struct BadScenario : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// One fault or repair at its time. Which target fields are set depends on `what`:
+// gatekeeper faults (kill, stop, cont, term, restart, hup) set `gatekeeper`; link faults (cut, blackhole,
+// oneway, delay, heal) set `worker` or `zone` and optionally `gatekeeper` (all when missing); worker faults
+// (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults (agent_down, agent_up) set
+// `gatekeeper`.
+struct Step {
+  double atS = 0;  // seconds from the start of the load
+  std::string what;
+  std::optional<int> gatekeeper, worker;
+  std::optional<std::string> zone;
+  double delayMs = 0;  // `delay` only: added to each piece, each way
+  int line = 0;        // where it stands in the file, for messages
+};
+
+// A count that the run must reach: fates (served, refused, failed, closed, unreachable, lost, wrong) of the
+// requests sent in [afterS, beforeS), at one gatekeeper or all; or `attempts` that came to a worker or a
+// zone's workers in that time.
+struct Expect {
+  std::string fate;
+  std::optional<int> gatekeeper, worker;
+  std::optional<std::string> zone;
+  double afterS = 0, beforeS = 1e9;
+  std::optional<long> min, max;
+  int line = 0;
+};
+
+struct Scenario {
+  std::string name;
+  double lengthS = 10;  // load from 0 to this
+  int gatekeepers = 3, workers = 4;
+  std::vector<std::string> zones{"a"};  // workers are dealt round them: worker w in zones[w % size]
+  // Load: open-loop Poisson arrivals.
+  double rate = 50;  // requests a second over the fleet
+  double deadlineMs = 1500;
+  int customers = 32;
+  double editShare = 0.2;  // keyed POSTs; the rest safe GETs
+  int mostInFlight = 2000;
+  // Stand-in workers: log-normal service time.
+  double serviceMs = 20, spread = 0.4;
+  int workerInFlight = 32;
+  double coldS = 0;  // a worker that starts anew answers 4 times slower, falling to 1 over this
+  int attemptsCap = 3;
+  std::vector<Step> steps;
+  std::vector<Expect> expects;
+
+  int zoneOf(int worker) const { return worker % static_cast<int>(zones.size()); }
+};
+
+// Reads and checks a scenario. Fleet sizes given here (> 0) replace the file's before the targets are
+// checked. Throws BadScenario with file:line:column for every fault the file has, the first one named.
+Scenario readScenario(const std::string& path, int gatekeepers = 0, int workers = 0);
+
+}  // namespace wingslip::lab
