Give each lab a block of ports of its own, and no lab socket to the gatekeepers

Cause: at 30 gatekeepers one to four could not start ("cannot listen: bind: Address already in use"), and in ctest all_restart once got 546 answers of 200 whose body no worker of its own had made. Suspects: a port taken from the ephemeral range by the lab's own listeners after it was picked (g14's port, seen at the first 30-gatekeeper run); held ports inherited by children forked before they were let go (four failed after the first fix, none shared a port); a killed gatekeeper's port taken by another lab that ctest ran at the same time, whose gatekeeper then answered this lab's clients (not seen alone in two runs, seen only in parallel). Lines at fault: freePort() and launch() in tools/lab/fleet.cpp.

Change: a lab claims a block of 320 ports below the ephemeral range by a listening marker on its first port, held for the run; gatekeeper g listens at marker + 1 + g, also after restarts. Children close every inherited descriptor before exec. The judge names the body of a wrong answer. The summary states the lab's CPU and memory and a gatekeeper's peak memory and descriptors.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <spdlog/spdlog.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -71,9 +72,31 @@
                  {"overrunCost", 1.0}}}}};
 }
 
-unsigned short freePort(asio::io_context& io) {
-  tcp::acceptor probe(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint().port();
+constexpr unsigned kLowestPort = 10000;
+constexpr unsigned kBlock = 320;  // ports a lab: a marker and 300 gatekeepers at most
+
+// Claims a block of ports for this lab's gatekeepers and returns its marker, a listening socket on the
+// block's first port held for the whole run; gatekeeper g listens at the marker's port + 1 + g. Labs that run
+// at once (ctest runs several) skip a block whose marker is taken, so that a port of a gatekeeper that is
+// down is not taken by another lab's gatekeeper, whose answers this lab's clients would then get. The blocks
+// lie below the kernel's ephemeral range, from which the lab's own listeners and connections take theirs.
+tcp::acceptor claimPorts(asio::io_context& io) {
+  unsigned low = 32768;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> low;
+  const unsigned blocks = low > kLowestPort ? (low - kLowestPort) / kBlock : 0;
+  if (blocks == 0) throw std::runtime_error("the ephemeral port range leaves no ports for gatekeepers");
+  const unsigned first = std::random_device()() % blocks;  // not the run's seed: labs of one seed run at once
+  for (unsigned i = 0; i < blocks; ++i) {
+    tcp::acceptor marker(io);
+    Error error;
+    const tcp::endpoint at(asio::ip::address_v4::loopback(),
+                           static_cast<unsigned short>(kLowestPort + (first + i) % blocks * kBlock));
+    marker.open(at.protocol(), error);
+    if (!error) marker.bind(at, error);
+    if (!error) marker.listen(1, error);
+    if (!error) return marker;
+  }
+  throw std::runtime_error("no free block of ports for the gatekeepers below the ephemeral range");
 }
 
 // Ends the gatekeepers that a lab killed before it could end them, by the ids it wrote.
@@ -100,7 +123,8 @@
 
 class Fleet {
  public:
-  Fleet(const Scenario& s, const RunOptions& o) : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed) {}
+  Fleet(const Scenario& s, const RunOptions& o)
+      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(claimPorts(io_)) {}
 
   int run() {
     fs::create_directories(o_.out);
@@ -118,7 +142,7 @@
       }
       agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return nowMs(); }));
       Gatekeeper gk;
-      gk.index = g, gk.port = freePort(io_);
+      gk.index = g, gk.port = static_cast<unsigned short>(ports_.local_endpoint().port() + 1 + g);
       gk.config = fs::path(o_.out) / ("g" + std::to_string(g) + ".json");
       gk.log = fs::path(o_.out) / ("g" + std::to_string(g) + ".log");
       char seed[17];
@@ -163,6 +187,9 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind when the lab dies
       std::FILE* log = std::fopen(gk.log.c_str(), "a");
       if (log) ::dup2(::fileno(log), 2), ::dup2(::fileno(log), 1);
+      // None of the lab's sockets goes with it: the marker of its ports, proxies, workers, agents.
+      if (::close_range(3, ~0U, 0) != 0)
+        for (int fd = 3; fd < 65536; ++fd) ::close(fd);
       ::setenv("BALANCER_CONFIG", gk.config.c_str(), 1);
       ::execl(o_.burlwind.c_str(), "burlwind", static_cast<char*>(nullptr));
       ::_exit(127);
@@ -369,6 +396,7 @@
 
   void finish() {
     finishing_ = true;
+    for (const Gatekeeper& gk : gatekeepers_) measure(gk);
     for (Gatekeeper& gk : gatekeepers_) {
       if (gk.stopped) signal(gk, SIGCONT);
       signal(gk, SIGTERM);
@@ -389,6 +417,20 @@
     io_.stop();
   }
 
+  // The peak memory (kB) and the open descriptors of a gatekeeper that runs, from /proc.
+  void measure(const Gatekeeper& gk) {
+    if (gk.pid <= 0) return;
+    const std::string at = "/proc/" + std::to_string(gk.pid);
+    std::ifstream status(at + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.rfind("VmHWM:", 0) == 0) mostKb_ = std::max(mostKb_, std::stol(line.substr(6)));
+    Error error;
+    long fds = 0;
+    for (std::error_code e; const auto& entry : fs::directory_iterator(at + "/fd", e))
+      fds += !entry.is_directory();
+    mostFds_ = std::max(mostFds_, fds);
+  }
+
   int verdict() {
     std::ofstream events(fs::path(o_.out) / "events.jsonl");
     for (const auto& [id, r] : judge_.requests())
@@ -403,6 +445,12 @@
              << "\n";
     json summary{{"scenario", s_.name},   {"seed", o_.seed},   {"gatekeepers", s_.gatekeepers},
                  {"workers", s_.workers}, {"faults", faults_}, {"not_sent", notSent_}};
+    rusage self{};
+    ::getrusage(RUSAGE_SELF, &self);
+    summary["lab"] = {{"cpu_s", self.ru_utime.tv_sec + self.ru_stime.tv_sec +
+                                    (self.ru_utime.tv_usec + self.ru_stime.tv_usec) / 1e6},
+                      {"most_kb", self.ru_maxrss}};
+    summary["gatekeeper_most"] = {{"kb", mostKb_}, {"descriptors", mostFds_}};
     for (Fate f : {Fate::served, Fate::refused, Fate::failed, Fate::closed, Fate::unreachable, Fate::lost,
                    Fate::wrong})
       summary["fates"][nameOf(f)] = judge_.count(f);
@@ -445,6 +493,7 @@
   asio::io_context io_;
   Judge judge_;
   std::mt19937_64 random_;
+  tcp::acceptor ports_;  // the marker of this lab's block of ports
   LinkOf links_;
   Clock::time_point start_;
   std::vector<std::unique_ptr<Worker>> workers_;
@@ -456,7 +505,7 @@
   json faults_ = json::array();
   double nextS_ = 0;
   int inFlight_ = 0;
-  long notSent_ = 0;
+  long notSent_ = 0, mostKb_ = 0, mostFds_ = 0;
   bool finishing_ = false;
 };
 
@@ -478,8 +527,10 @@
   std::cout << "fates:";
   for (const auto& [fate, n] : s["fates"].items()) std::cout << " " << fate << "=" << n;
   std::cout << "\nserved ms: p50=" << s["served_ms"]["p50"] << " p90=" << s["served_ms"]["p90"]
-            << " p99=" << s["served_ms"]["p99"] << "\nfaults: " << s["faults"].size()
-            << ", not sent: " << s["not_sent"] << "\n";
+            << " p99=" << s["served_ms"]["p99"] << "\nlab: " << s["lab"]["cpu_s"] << " s of CPU, "
+            << s["lab"]["most_kb"] << " kB; a gatekeeper at most " << s["gatekeeper_most"]["kb"] << " kB, "
+            << s["gatekeeper_most"]["descriptors"] << " descriptors"
+            << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
   for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
   for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
   std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
--- a/tools/lab/judge.cpp
+++ b/tools/lab/judge.cpp
@@ -52,7 +52,9 @@
     const bool fromWorker = made != bodies_.end() &&
                             std::find(made->second.begin(), made->second.end(), body) != made->second.end();
     r.fate = fromWorker ? Fate::served : Fate::wrong;
-    if (!fromWorker) breaks("request " + std::to_string(id) + ": a 200 with a body no worker made for it");
+    if (!fromWorker)
+      breaks("request " + std::to_string(id) + ": a 200 with a body no worker made for it: " +
+             body.substr(0, 80) + (made == bodies_.end() ? " (no attempt came to a worker)" : ""));
   } else {
     r.fate = status == 429 || status == 503 ? Fate::refused : Fate::failed;
   }
