--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 #include "judge.hpp"
 #include "scenario.hpp"
@@ -43,12 +44,39 @@
 
 TEST(Scenario, TheShippedScenariosAreWellFormed) {
   for (const auto& file : std::filesystem::directory_iterator(LAB_SCENARIOS)) {
+    if (file.path().extension() != ".toml") continue;
     const Scenario s = readScenario(file.path().string());
     EXPECT_FALSE(s.steps.empty()) << file.path();
     EXPECT_FALSE(s.expects.empty()) << file.path();
   }
 }
 
+// A random schedule is the seed's alone; every fault is undone, none overlaps another on its target.
+TEST(Scenario, RandomFaultsComeFromTheSeedAndAreUndone) {
+  const std::string path = std::string(LAB_SCENARIOS) + "/random.toml";
+  const auto said = [](const Scenario& s) {
+    std::string out;
+    for (const Step& step : s.steps) out += step.what + "@" + std::to_string(step.atS) + ";";
+    return out;
+  };
+  const Scenario one = readScenario(path, 0, 0, 1);
+  EXPECT_EQ(said(one), said(readScenario(path, 0, 0, 1)));
+  EXPECT_NE(said(one), said(readScenario(path, 0, 0, 2)));
+  std::map<std::string, int> open;
+  double last = 0;
+  for (const Step& step : one.steps) {
+    EXPECT_GE(step.atS, last);
+    last = step.atS;
+    const std::string target =
+        (step.gatekeeper ? "g" : "w") + std::to_string(step.gatekeeper.value_or(step.worker.value_or(-1)));
+    const bool undo =
+        step.what == "restart" || step.what == "cont" || step.what == "heal" || step.what == "revive";
+    EXPECT_EQ(open[target], undo ? 1 : 0) << step.what << " at " << step.atS;
+    open[target] += undo ? -1 : 1;
+  }
+  for (const auto& [target, n] : open) EXPECT_EQ(n, 0) << target;
+}
+
 TEST(Judge, A200MustCarryTheWorkersBodyForThatRequest) {
   Judge j(2);
   j.sent(1, 0, 0, 1000), j.sent(2, 0, 0, 1000), j.sent(3, 0, 0, 1000);
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -37,8 +37,11 @@
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
   try {
     if (*report) return wingslip::lab::report(reportDir);
-    const auto scenario = wingslip::lab::readScenario(scenarioPath, gatekeepers, workers);
-    if (check) return std::cout << "scenario " << scenario.name << ": well formed\n", 0;
+    const auto scenario = wingslip::lab::readScenario(scenarioPath, gatekeepers, workers, options.seed);
+    if (check)
+      return std::cout << "scenario " << scenario.name << ": well formed, " << scenario.steps.size()
+                       << " steps\n",
+             0;
     options.out = out;
     return wingslip::lab::play(scenario, options);
   } catch (const wingslip::lab::BadScenario& error) {
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -3,6 +3,8 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <map>
+#include <random>
 #include <set>
 #include <sstream>
 
@@ -58,9 +60,43 @@
   std::string path_;
 };
 
+const std::map<std::string, std::string> kUndo{
+    {"kill", "restart"},   {"term", "restart"},       {"stop", "cont"},  {"cut", "heal"},
+    {"blackhole", "heal"}, {"oneway", "heal"},        {"delay", "heal"}, {"drain", "revive"},
+    {"silent", "revive"},  {"agent_down", "agent_up"}};
+
+struct RandomFaults {
+  double rate = 0, healAfterS = 0, fromS = 0, untilS = 0;
+  std::vector<std::string> faults;
+};
+
+void addRandomFaults(Scenario& s, const RandomFaults& f, std::uint64_t seed) {
+  std::mt19937_64 random(seed ^ 0x9e3779b97f4a7c15ULL);
+  std::exponential_distribution<double> gap(f.rate > 0 ? f.rate : 1);
+  std::map<std::pair<bool, int>, double> heldUntil;  // (a gatekeeper?, index) -> when its fault is undone
+  for (double at = f.fromS + gap(random); f.rate > 0 && at < f.untilS; at += gap(random)) {
+    const std::string& what = f.faults[random() % f.faults.size()];
+    const bool onGatekeeper = kGatekeeperFaults.contains(what);
+    const int target =
+        static_cast<int>(random() % static_cast<std::uint64_t>(onGatekeeper ? s.gatekeepers : s.workers));
+    double& until = heldUntil[{onGatekeeper, target}];
+    if (until > at) continue;  // that one is in a fault already
+    const double undoAt = std::min(at + f.healAfterS, s.lengthS);
+    until = undoAt;
+    Step step, undo;
+    step.atS = at, undo.atS = undoAt;
+    step.what = what, undo.what = kUndo.at(what);
+    for (Step* one : {&step, &undo}) (onGatekeeper ? one->gatekeeper : one->worker) = target;
+    if (what == "delay") step.delayMs = 300;
+    s.steps.push_back(step), s.steps.push_back(undo);
+  }
+  std::stable_sort(s.steps.begin(), s.steps.end(),
+                   [](const Step& a, const Step& b) { return a.atS < b.atS; });
+}
+
 }  // namespace
 
-Scenario readScenario(const std::string& path, int gatekeepers, int workers) {
+Scenario readScenario(const std::string& path, int gatekeepers, int workers, std::uint64_t seed) {
   toml::table file;
   try {
     file = toml::parse_file(path);
@@ -71,7 +107,7 @@
     throw BadScenario(out.str());
   }
   const Reader r(path);
-  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "step", "expect"});
+  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "step", "expect", "random"});
   Scenario s;
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
@@ -177,6 +213,25 @@
       s.expects.push_back(e);
     }
   }
+  if (const toml::table* random = file["random"].as_table()) {
+    r.onlyKeys(*random, {"rate_per_s", "faults", "heal_after_s", "from_s", "until_s"});
+    RandomFaults f;
+    f.rate = r.number(*random, "rate_per_s", 0.5, 0, 100);
+    f.healAfterS = r.number(*random, "heal_after_s", 2.0, 0.1, 3600);
+    f.fromS = r.number(*random, "from_s", 1.0, 0, s.lengthS);
+    f.untilS = r.number(*random, "until_s", s.lengthS, f.fromS, s.lengthS);
+    const toml::array* faults = (*random)["faults"].as_array();
+    if (!faults || faults->empty()) r.bad(random->source(), "random needs faults = [\"kill\", ...]");
+    for (const toml::node& fault : *faults) {
+      const std::optional<std::string> name = fault.value<std::string>();
+      if (!name || !kUndo.contains(*name))
+        r.bad(fault.source(),
+              "no random fault " + name.value_or("?") +
+                  " (one of kill, term, stop, cut, blackhole, oneway, delay, drain, silent, agent_down)");
+      f.faults.push_back(*name);
+    }
+    addRandomFaults(s, f, seed);
+  }
   return s;
 }
 
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -2,6 +2,7 @@
 // anything starts. Pure: no I/O but the read of the file.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -63,7 +64,11 @@
 };
 
 // Reads and checks a scenario. Fleet sizes given here (> 0) replace the file's before the targets are
-// checked. Throws BadScenario with file:line:column for every fault the file has, the first one named.
-Scenario readScenario(const std::string& path, int gatekeepers = 0, int workers = 0);
+// checked. A `[random]` table (rate_per_s, faults, heal_after_s, from_s, until_s) adds faults at Poisson
+// times drawn from `seed`, each on a target picked by chance that no other fault holds, each undone after
+// heal_after_s (kill and term by restart, stop by cont, link faults by heal, drain and silent by revive,
+// agent_down by agent_up); the steps come out sorted by time. Throws BadScenario with file:line:column for
+// the first fault the file has.
+Scenario readScenario(const std::string& path, int gatekeepers = 0, int workers = 0, std::uint64_t seed = 1);
 
 }  // namespace wingslip::lab
