Read a scenario's zone in one place, and drop a dead term in the lab's cont

Need: the read of the whole change found the zone of a step and of an expectation read and checked by two copies of the same lines, and judge_.up(g, nowMs() + 1000 * 0) in the cont step, a term that adds nothing. Change: Reader::zone serves both; cont marks the gatekeeper up at nowMs(). Behaviour as before.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -282,7 +282,7 @@
       if (step.what == "kill") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGKILL);
       if (step.what == "term") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGTERM);
       if (step.what == "stop") judge_.down(g, nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
-      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs() + 1000 * 0), gk.stopped = false;
+      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs()), gk.stopped = false;
       if (step.what == "hup") signal(gk, SIGHUP);
       if (step.what == "restart") {
         if (gk.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.pid, nullptr, 0), gk.pid = 0;
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -51,6 +51,16 @@
     return static_cast<int>(*value);
   }
 
+  // The table's `zone`, one of `zones`; none where it is missing.
+  std::optional<std::string> zone(const toml::table& table, const std::vector<std::string>& zones) const {
+    const toml::node* node = table.get("zone");
+    if (!node) return std::nullopt;
+    const std::optional<std::string> name = node->value<std::string>();
+    if (!name || std::find(zones.begin(), zones.end(), *name) == zones.end())
+      bad(node->source(), "no such zone");
+    return name;
+  }
+
   void onlyKeys(const toml::table& table, const std::set<std::string>& keys) const {
     for (const auto& [key, node] : table)
       if (!keys.contains(std::string(key.str()))) bad(node.source(), "unknown key " + std::string(key.str()));
@@ -164,11 +174,7 @@
       step.what = *what->value<std::string>();
       step.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
       step.worker = r.index(*table, "worker", s.workers, "worker");
-      if (const toml::node* zone = table->get("zone")) {
-        step.zone = zone->value<std::string>();
-        if (!step.zone || std::find(s.zones.begin(), s.zones.end(), *step.zone) == s.zones.end())
-          r.bad(zone->source(), "no such zone");
-      }
+      step.zone = r.zone(*table, s.zones);
       step.delayMs = r.number(*table, "delay_ms", 0.0, 0, 60000);
       const bool onWorkers = step.worker || step.zone;
       if (kGatekeeperFaults.contains(step.what)) {
@@ -198,11 +204,7 @@
       e.fate = *fate->value<std::string>();
       e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
       e.worker = r.index(*table, "worker", s.workers, "worker");
-      if (const toml::node* zone = table->get("zone")) {
-        e.zone = zone->value<std::string>();
-        if (!e.zone || std::find(s.zones.begin(), s.zones.end(), *e.zone) == s.zones.end())
-          r.bad(zone->source(), "no such zone");
-      }
+      e.zone = r.zone(*table, s.zones);
       if ((e.worker || e.zone) != (e.fate == "attempts"))
         r.bad(table->source(), "attempts are counted at a worker or a zone, and only they");
       e.afterS = r.number(*table, "after_s", 0.0, 0, 1e9);
