Lab: a plot a run, faults towards discovery, new files by SIGHUP, upgrades side by side

Need: the lab could not play an upgrade, a new file or a loss of discovery on a link, and a run had to be read from JSON lines.

Change: plot.svg (pure, tested); the fault proxy also on each link to discovery, throttle, and a reset at heal of a link that lost bytes; hup with a JSON merge patch; upgrade on a listening socket that the lab holds; processes and ports in a file of their own; names of fates parsed in one place.

The gatekeeper is unchanged.

--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 #include "judge.hpp"
+#include "plot.hpp"
 #include "scenario.hpp"
 
 namespace wingslip::lab {
@@ -40,6 +41,13 @@
   EXPECT_EQ(turnedDown("[fleet\ngatekeepers = 3\n").substr(0, 12), "1:7: not TOM");
   EXPECT_EQ(turnedDown("lenght_s = 3\n"), "1:12: unknown key lenght_s");
   EXPECT_EQ(turnedDown("[[expect]]\nfate = \"served\"\n"), "1:1: an expectation needs min or max");
+  const auto step = [&](const std::string& rest) {
+    return turnedDown(fleet + "[[step]]\nat_s = 1\n" + rest);
+  };
+  EXPECT_EQ(step("do = \"cut\"\nlink = \"moon\"\n"), "7:8: link is one of discovery");
+  EXPECT_EQ(step("do = \"hup\"\ngatekeeper = 0\npatch = \"[1\"\n"), "8:9: patch is no JSON object");
+  EXPECT_EQ(step("do = \"upgrade\"\ngatekeeper = 0\n"), "6:6: upgrade needs fleet.held_sockets = true");
+  EXPECT_EQ(step("do = \"throttle\"\nlink = \"discovery\"\n"), "6:6: throttle needs bytes_per_s");
 }
 
 TEST(Scenario, TheShippedScenariosAreWellFormed) {
@@ -122,5 +130,17 @@
   EXPECT_EQ(j.brokenCount(), 3);
 }
 
+// A second with twice the requests has bars twice as high; a fault is drawn at its time, with its label.
+TEST(Plot, DrawsCountsBySecondAndFaults) {
+  std::vector<Request> requests(3);
+  requests[0].sentMs = 100, requests[1].sentMs = 1500, requests[2].sentMs = 1900;
+  for (Request& r : requests) r.fate = Fate::served;
+  const std::string svg = plotSvg({"t", 2, 1, {{1, "kill <g1>"}}}, requests);
+  EXPECT_NE(svg.find("height=\"60.0\" fill=\"#4c9f70\""), std::string::npos);
+  EXPECT_NE(svg.find("height=\"120.0\" fill=\"#4c9f70\""), std::string::npos);
+  EXPECT_NE(svg.find("x1=\"490.0\""), std::string::npos) << "halfway of 60 to 920";
+  EXPECT_NE(svg.find("kill &lt;g1>"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace wingslip::lab
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include <signal.h>
 #include <spdlog/spdlog.h>
-#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -16,6 +15,8 @@
 #include <thread>
 
 #include "net.hpp"
+#include "plot.hpp"
+#include "process.hpp"
 
 namespace wingslip::lab {
 namespace beast = boost::beast;
@@ -72,59 +73,14 @@
                  {"overrunCost", 1.0}}}}};
 }
 
-constexpr unsigned kLowestPort = 10000;
-constexpr unsigned kBlock = 320;  // ports a lab: a marker and 300 gatekeepers at most
-
-// Claims a block of ports for this lab's gatekeepers and returns its marker, a listening socket on the
-// block's first port held for the whole run; gatekeeper g listens at the marker's port + 1 + g. Labs that run
-// at once (ctest runs several) skip a block whose marker is taken, so that a port of a gatekeeper that is
-// down is not taken by another lab's gatekeeper, whose answers this lab's clients would then get. The blocks
-// lie below the kernel's ephemeral range, from which the lab's own listeners and connections take theirs.
-tcp::acceptor claimPorts(asio::io_context& io) {
-  unsigned low = 32768;
-  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> low;
-  const unsigned blocks = low > kLowestPort ? (low - kLowestPort) / kBlock : 0;
-  if (blocks == 0) throw std::runtime_error("the ephemeral port range leaves no ports for gatekeepers");
-  const unsigned first = std::random_device()() % blocks;  // not the run's seed: labs of one seed run at once
-  for (unsigned i = 0; i < blocks; ++i) {
-    tcp::acceptor marker(io);
-    Error error;
-    const tcp::endpoint at(asio::ip::address_v4::loopback(),
-                           static_cast<unsigned short>(kLowestPort + (first + i) % blocks * kBlock));
-    marker.open(at.protocol(), error);
-    if (!error) marker.bind(at, error);
-    if (!error) marker.listen(1, error);
-    if (!error) return marker;
-  }
-  throw std::runtime_error("no free block of ports for the gatekeepers below the ephemeral range");
-}
-
-// Ends the gatekeepers that a lab killed before it could end them, by the ids it wrote.
-void endLeftBehind(const fs::path& pids) {
-  std::ifstream in(pids);
-  for (pid_t pid; in >> pid;) {
-    std::ifstream comm("/proc/" + std::to_string(pid) + "/comm");
-    std::string name;
-    if (comm >> name && name == "burlwind") {
-      spdlog::warn("event=left_behind pid={} action=kill", pid);
-      ::kill(pid, SIGKILL);
-    }
-  }
-}
-
-struct Gatekeeper {
-  int index = 0;
-  unsigned short port = 0;
-  fs::path config, log;
-  pid_t pid = 0;
-  bool inFront = false, stopped = false;
-  int misses = 0;
-};
+const std::map<std::string, LinkMode> kModes{
+    {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
+    {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
 
 class Fleet {
  public:
   Fleet(const Scenario& s, const RunOptions& o)
-      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(claimPorts(io_)) {}
+      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(io_) {}
 
   int run() {
     fs::create_directories(o_.out);
@@ -137,25 +93,13 @@
       std::vector<Agent::Entry> list;
       for (int w = 0; w < s_.workers; ++w) {
         proxies_.push_back(std::make_unique<Proxy>(io_, g, workers_[w]->port(), links_));
-        list.push_back({"w" + std::to_string(w), "127.0.0.1:" + std::to_string(proxies_.back()->port()),
-                        s_.zones[s_.zoneOf(w)], "Ready", 0});
+        list.push_back({std::string("w").append(std::to_string(w)),
+                        "127.0.0.1:" + std::to_string(proxies_.back()->port()), s_.zones[s_.zoneOf(w)],
+                        "Ready", 0});
       }
       agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return nowMs(); }));
-      Gatekeeper gk;
-      gk.index = g, gk.port = static_cast<unsigned short>(ports_.local_endpoint().port() + 1 + g);
-      gk.config = fs::path(o_.out) / ("g" + std::to_string(g) + ".json");
-      gk.log = fs::path(o_.out) / ("g" + std::to_string(g) + ".log");
-      char seed[17];
-      std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
-      std::ofstream(gk.config) << json{
-          {"name", "g" + std::to_string(g)},
-          {"listen", "127.0.0.1:" + std::to_string(gk.port)},
-          {"discovery", "127.0.0.1:" + std::to_string(agents_.back()->port())},
-          {"seed", seed},
-          {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
-          {"settings",
-           settingsFor(s_, g)}}.dump(1);
-      gatekeepers_.push_back(gk);
+      agentLinks_.push_back(std::make_unique<Proxy>(io_, g, agents_.back()->port(), links_));
+      gatekeepers_.push_back(configured(g));
     }
     for (Gatekeeper& gk : gatekeepers_) launch(gk);
     health();
@@ -164,12 +108,39 @@
     start_ = Clock::now();
     for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
     arrive();
+    progress();
     at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
     io_.run();
     return verdict();
   }
 
  private:
+  // The gatekeeper's files, and its listening socket where the lab holds it.
+  Gatekeeper configured(int g) {
+    Gatekeeper gk;
+    const fs::path out = fs::absolute(o_.out);
+    const std::string name = "g" + std::to_string(g);
+    gk.index = g, gk.port = ports_.listen(g);
+    gk.config = out / (name + ".json"), gk.log = out / (name + ".log");
+    if (s_.heldSockets) {
+      gk.held = holdSocket(gk.port);
+      gk.state = out / (name + ".state");
+      fs::remove_all(gk.state);
+      fs::create_directories(gk.state);
+    }
+    char seed[17];
+    std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
+    std::ofstream(gk.config) << json{
+        {"name", name},
+        {"listen", "127.0.0.1:" + std::to_string(gk.port)},
+        {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
+        {"seed", seed},
+        {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
+        {"settings",
+         settingsFor(s_, g)}}.dump(1);
+    return gk;
+  }
+
   double nowMs() const { return std::chrono::duration<double, std::milli>(Clock::now() - start_).count(); }
 
   void at(double seconds, std::function<void()> what) {
@@ -181,34 +152,64 @@
   }
 
   void launch(Gatekeeper& gk) {
-    const pid_t pid = ::fork();
-    if (pid < 0) throw std::runtime_error("cannot start a gatekeeper: fork failed");
-    if (pid == 0) {
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind when the lab dies
-      std::FILE* log = std::fopen(gk.log.c_str(), "a");
-      if (log) ::dup2(::fileno(log), 2), ::dup2(::fileno(log), 1);
-      // None of the lab's sockets goes with it: the marker of its ports, proxies, workers, agents.
-      if (::close_range(3, ~0U, 0) != 0)
-        for (int fd = 3; fd < 65536; ++fd) ::close(fd);
-      ::setenv("BALANCER_CONFIG", gk.config.c_str(), 1);
-      ::execl(o_.burlwind.c_str(), "burlwind", static_cast<char*>(nullptr));
-      ::_exit(127);
+    gk.now = start(gk, ports_, o_.burlwind);
+    gk.stopped = false, gk.inFront = false, gk.misses = 0;
+    std::ofstream(fs::path(o_.out) / "pids", std::ios::app) << gk.now.pid << "\n";
+  }
+
+  // A process of the same gatekeeper beside the one that runs; when it says that it is ready, the old one is
+  // told to end.
+  void upgrade(Gatekeeper& gk) {
+    if (gk.old.pid > 0) return;  // one upgrade at a time
+    gk.old = std::exchange(gk.now, start(gk, ports_, o_.burlwind));
+    std::ofstream(fs::path(o_.out) / "pids", std::ios::app) << gk.now.pid << "\n";
+    awaitReady(gk.index, gk.now.pid);
+  }
+
+  void awaitReady(int g, pid_t pid) {
+    askOps(io_, gatekeepers_[g].now.ops, "readyz", [this, g, pid](const std::string& answer) {
+      Gatekeeper& gk = gatekeepers_[g];
+      if (finishing_ || gk.now.pid != pid) return;
+      if (answer.rfind("200", 0) == 0) {
+        spdlog::info("event=upgraded gatekeeper={} at_ms={:.0f}", g, nowMs());
+        if (gk.old.pid > 0) ::kill(gk.old.pid, SIGTERM);
+        return;
+      }
+      at(nowMs() / 1000 + 0.05, [this, g, pid] { awaitReady(g, pid); });
+    });
+  }
+
+  // The configuration file with the step's patch, written aside and renamed; then SIGHUP.
+  void hup(Gatekeeper& gk, const std::string& patch) {
+    if (!patch.empty()) {
+      std::ifstream in(gk.config);
+      json file = json::parse(in);
+      file.merge_patch(json::parse(patch));
+      const fs::path aside = gk.config.string() + ".new";
+      std::ofstream(aside) << file.dump(1);
+      fs::rename(aside, gk.config);
     }
-    gk.pid = pid, gk.stopped = false, gk.inFront = false, gk.misses = 0;
-    std::ofstream(fs::path(o_.out) / "pids", std::ios::app) << pid << "\n";
-    spdlog::info("event=start gatekeeper={} pid={} port={}", gk.index, pid, gk.port);
+    signal(gk, SIGHUP);
   }
 
   void signal(Gatekeeper& gk, int number) {
-    if (gk.pid > 0) ::kill(gk.pid, number);
+    if (gk.now.pid > 0) ::kill(gk.now.pid, number);
   }
 
   // Reaps the gatekeepers that ended; one that ended by itself, not by the lab's fault, crashed.
   void reap() {
     for (Gatekeeper& gk : gatekeepers_) {
       int status = 0;
-      if (gk.pid <= 0 || ::waitpid(gk.pid, &status, WNOHANG) != gk.pid) continue;
-      gk.pid = 0;
+      if (gk.old.pid > 0 && ::waitpid(gk.old.pid, &status, WNOHANG) == gk.old.pid) {
+        gk.old = {};
+        if (status == 0)
+          noted_.push_back({"upgrades", gk.index, nowMs()});
+        else
+          crashes_.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
+                             ": the old process ended with " + std::to_string(status));
+      }
+      if (gk.now.pid <= 0 || ::waitpid(gk.now.pid, &status, WNOHANG) != gk.now.pid) continue;
+      gk.now = {};
       const bool byLab = ended_.contains(gk.index);
       if (!byLab && !finishing_) {
         crashes_.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
@@ -218,6 +219,16 @@
     }
   }
 
+  // One line every 10 s of a long run.
+  void progress() {
+    at(nowMs() / 1000 + 10, [this] {
+      if (finishing_) return;
+      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}", nowMs() / 1000,
+                   s_.lengthS, judge_.requests().size(), inFlight_, notSent_);
+      progress();
+    });
+  }
+
   // The front: a health check of each gatekeeper every 250 ms; in at the first 200, out after three misses.
   void health() {
     reap();
@@ -276,6 +287,17 @@
     spdlog::info("event=step at_s={} do={} gatekeeper={} worker={} zone={}", step.atS, step.what,
                  step.gatekeeper.value_or(-1), step.worker.value_or(-1), step.zone.value_or("-"));
     faults_.push_back({{"at_s", step.atS}, {"do", step.what}, {"line", step.line}});
+    marks_.push_back({step.atS, labelOf(step)});
+    const auto mode = kModes.find(step.what);
+    if (mode != kModes.end() && !step.link.empty()) {
+      for (int g = 0; g < s_.gatekeepers; ++g) {
+        if (step.gatekeeper && *step.gatekeeper != g) continue;
+        agentLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
+        agents_[g]->setHeard(mode->second == LinkMode::pass || mode->second == LinkMode::delay ||
+                             mode->second == LinkMode::throttle);
+      }
+      return;
+    }
     if (step.gatekeeper && !step.worker && !step.zone) {
       Gatekeeper& gk = gatekeepers_[*step.gatekeeper];
       const int g = gk.index;
@@ -283,9 +305,10 @@
       if (step.what == "term") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGTERM);
       if (step.what == "stop") judge_.down(g, nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
       if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs()), gk.stopped = false;
-      if (step.what == "hup") signal(gk, SIGHUP);
+      if (step.what == "hup") hup(gk, step.patch);
+      if (step.what == "upgrade") upgrade(gk);
       if (step.what == "restart") {
-        if (gk.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.pid, nullptr, 0), gk.pid = 0;
+        if (gk.now.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.now.pid, nullptr, 0), gk.now = {};
         ended_.erase(g);
         judge_.down(g, nowMs());
         launch(gk);
@@ -311,18 +334,21 @@
                 .count();
         for (auto& agent : agents_) agent->change(w, "Ready", wall);
       }
-      static const std::map<std::string, LinkMode> modes{{"cut", LinkMode::cut},
-                                                         {"blackhole", LinkMode::blackhole},
-                                                         {"oneway", LinkMode::oneway},
-                                                         {"delay", LinkMode::delay},
-                                                         {"heal", LinkMode::pass}};
-      if (const auto mode = modes.find(step.what); mode != modes.end())
+      if (mode != kModes.end())
         for (int g = 0; g < s_.gatekeepers; ++g)
           if (!step.gatekeeper || *step.gatekeeper == g)
-            proxies_[g * s_.workers + w]->set(mode->second, step.delayMs);
+            proxies_[g * s_.workers + w]->set(mode->second, step.delayMs, step.bytesPerS);
     }
   }
 
+  static std::string labelOf(const Step& step) {
+    std::string out = step.what;
+    if (step.gatekeeper) out += " g" + std::to_string(*step.gatekeeper);
+    if (step.worker) out += " w" + std::to_string(*step.worker);
+    if (step.zone) out += " zone " + *step.zone;
+    return out;
+  }
+
   // Open-loop Poisson arrivals over the fleet until the end of the load.
   void arrive() {
     std::exponential_distribution<double> gap(s_.rate);
@@ -404,14 +430,16 @@
     judge_.close(nowMs());
     const auto limit = Clock::now() + std::chrono::seconds(5);
     for (Gatekeeper& gk : gatekeepers_) {
-      while (gk.pid > 0 && Clock::now() < limit && ::waitpid(gk.pid, nullptr, WNOHANG) == 0)
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
-      if (gk.pid > 0 && ::waitpid(gk.pid, nullptr, WNOHANG) == 0) {
-        spdlog::warn("event=kill_at_end gatekeeper={} pid={}", gk.index, gk.pid);
-        ::kill(gk.pid, SIGKILL);
-        ::waitpid(gk.pid, nullptr, 0);
+      for (Process* one : {&gk.now, &gk.old}) {
+        while (one->pid > 0 && Clock::now() < limit && ::waitpid(one->pid, nullptr, WNOHANG) == 0)
+          std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        if (one->pid > 0 && ::waitpid(one->pid, nullptr, WNOHANG) == 0) {
+          spdlog::warn("event=kill_at_end gatekeeper={} pid={}", gk.index, one->pid);
+          ::kill(one->pid, SIGKILL);
+          ::waitpid(one->pid, nullptr, 0);
+        }
+        *one = {};
       }
-      gk.pid = 0;
     }
     fs::remove(fs::path(o_.out) / "pids");
     io_.stop();
@@ -419,8 +447,8 @@
 
   // The peak memory (kB) and the open descriptors of a gatekeeper that runs, from /proc.
   void measure(const Gatekeeper& gk) {
-    if (gk.pid <= 0) return;
-    const std::string at = "/proc/" + std::to_string(gk.pid);
+    if (gk.now.pid <= 0) return;
+    const std::string at = "/proc/" + std::to_string(gk.now.pid);
     std::ifstream status(at + "/status");
     for (std::string line; std::getline(status, line);)
       if (line.rfind("VmHWM:", 0) == 0) mostKb_ = std::max(mostKb_, std::stol(line.substr(6)));
@@ -431,6 +459,19 @@
     mostFds_ = std::max(mostFds_, fds);
   }
 
+  long counted(const Expect& e) const {
+    const double after = e.afterS * 1000, before = e.beforeS * 1000;
+    if (e.fate == "attempts")
+      return judge_.attempts(
+          [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
+          before);
+    if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
+    return std::count_if(noted_.begin(), noted_.end(), [&](const Noted& n) {
+      return n.what == e.fate && (!e.gatekeeper || *e.gatekeeper == n.gatekeeper) && n.atMs >= after &&
+             n.atMs < before;
+    });
+  }
+
   int verdict() {
     std::ofstream events(fs::path(o_.out) / "events.jsonl");
     for (const auto& [id, r] : judge_.requests())
@@ -443,6 +484,10 @@
                      {"excused", r.excused}}
                     .dump()
              << "\n";
+    std::vector<Request> all;
+    for (const auto& [id, r] : judge_.requests()) all.push_back(r);
+    std::ofstream(fs::path(o_.out) / "plot.svg")
+        << plotSvg({s_.name, s_.lengthS, s_.gatekeepers, marks_}, all);
     json summary{{"scenario", s_.name},   {"seed", o_.seed},   {"gatekeepers", s_.gatekeepers},
                  {"workers", s_.workers}, {"faults", faults_}, {"not_sent", notSent_}};
     rusage self{};
@@ -465,16 +510,7 @@
     summary["broken_count"] = judge_.brokenCount() + static_cast<long>(crashes_.size());
     json unmet = json::array();
     for (const Expect& e : s_.expects) {
-      static const std::map<std::string, Fate> fates{
-          {"served", Fate::served}, {"refused", Fate::refused},         {"failed", Fate::failed},
-          {"closed", Fate::closed}, {"unreachable", Fate::unreachable}, {"lost", Fate::lost},
-          {"wrong", Fate::wrong}};
-      const long n =
-          e.fate == "attempts"
-              ? judge_.attempts(
-                    [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; },
-                    e.afterS * 1000, e.beforeS * 1000)
-              : judge_.count(fates.at(e.fate), e.gatekeeper, e.afterS * 1000, e.beforeS * 1000);
+      const long n = counted(e);
       if ((e.min && n < *e.min) || (e.max && n > *e.max))
         unmet.push_back("line " + std::to_string(e.line) + ": " + e.fate + " " + std::to_string(n) +
                         " not within " + std::to_string(e.min.value_or(0)) + ".." +
@@ -493,16 +529,24 @@
   asio::io_context io_;
   Judge judge_;
   std::mt19937_64 random_;
-  tcp::acceptor ports_;  // the marker of this lab's block of ports
+  Ports ports_;
   LinkOf links_;
   Clock::time_point start_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Agent>> agents_;
+  std::vector<std::unique_ptr<Proxy>> agentLinks_;  // gatekeeper to its agent
   std::vector<Gatekeeper> gatekeepers_;
   std::set<int> ended_;
   std::vector<std::string> crashes_;
   json faults_ = json::array();
+  std::vector<PlotMark> marks_;
+  struct Noted {
+    std::string what;  // one of kNoted, of expectations
+    int gatekeeper;
+    double atMs;
+  };
+  std::vector<Noted> noted_;
   double nextS_ = 0;
   int inFlight_ = 0;
   long notSent_ = 0, mostKb_ = 0, mostFds_ = 0;
--- a/tools/lab/judge.cpp
+++ b/tools/lab/judge.cpp
@@ -1,6 +1,7 @@
 #include "judge.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace wingslip::lab {
 namespace {
@@ -10,28 +11,29 @@
 constexpr std::size_t kBrokenKept = 100;
 }  // namespace
 
+namespace {
+constexpr std::array<std::pair<Fate, const char*>, 8> kNames{{{Fate::open, "open"},
+                                                              {Fate::served, "served"},
+                                                              {Fate::refused, "refused"},
+                                                              {Fate::failed, "failed"},
+                                                              {Fate::closed, "closed"},
+                                                              {Fate::unreachable, "unreachable"},
+                                                              {Fate::lost, "lost"},
+                                                              {Fate::wrong, "wrong"}}};
+}  // namespace
+
 const char* nameOf(Fate fate) {
-  switch (fate) {
-    case Fate::open:
-      return "open";
-    case Fate::served:
-      return "served";
-    case Fate::refused:
-      return "refused";
-    case Fate::failed:
-      return "failed";
-    case Fate::closed:
-      return "closed";
-    case Fate::unreachable:
-      return "unreachable";
-    case Fate::lost:
-      return "lost";
-    case Fate::wrong:
-      return "wrong";
-  }
+  for (const auto& [one, name] : kNames)
+    if (one == fate) return name;
   return "?";
 }
 
+std::optional<Fate> fateOf(const std::string& name) {
+  for (const auto& [fate, text] : kNames)
+    if (name == text) return fate;
+  return std::nullopt;
+}
+
 void Judge::breaks(std::string what) {
   ++brokenCount_;
   if (broken_.size() < kBrokenKept) broken_.push_back(std::move(what));
--- a/tools/lab/judge.hpp
+++ b/tools/lab/judge.hpp
@@ -15,6 +15,7 @@
 
 enum class Fate { open, served, refused, failed, closed, unreachable, lost, wrong };
 const char* nameOf(Fate fate);
+std::optional<Fate> fateOf(const std::string& name);  // the name as in nameOf; none: no such fate
 
 struct Request {
   std::uint64_t id = 0;
--- a/tools/lab/net.cpp
+++ b/tools/lab/net.cpp
@@ -220,7 +220,7 @@
             watch->out.push_back(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
                 std::string(size) + line + "\r\n");
-            watches_.insert(watch);
+            for (std::size_t w = 0; w < list_.size(); ++w) toldOf(w);
           } else {
             const std::string body = listJson(true, {});
             watch->out.push_back("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -245,6 +245,13 @@
   if (!down_ && !untold_.empty()) tell(untold_);
 }
 
+void Agent::toldOf(std::size_t worker) {
+  if (list_[worker].lifecycle == "Ready")
+    judge_.drainUndone(gatekeeper_, static_cast<int>(worker));
+  else if (heard_)
+    judge_.drainTold(gatekeeper_, static_cast<int>(worker), nowMs_());
+}
+
 // Writes what each watch has waiting; with `changed`, a line of those entries first, and their drains to the
 // judge.
 void Agent::tell(const std::vector<std::size_t>& changed) {
@@ -253,12 +260,7 @@
     char size[32];
     std::snprintf(size, sizeof size, "%zx\r\n", line.size());
     for (const auto& watch : watches_) watch->out.push_back(std::string(size) + line + "\r\n");
-    for (const std::size_t w : changed) {
-      if (list_[w].lifecycle == "Ready")
-        judge_.drainUndone(gatekeeper_, static_cast<int>(w));
-      else
-        judge_.drainTold(gatekeeper_, static_cast<int>(w), nowMs_());
-    }
+    for (const std::size_t w : changed) toldOf(w);
     untold_.clear();
   }
   for (const auto& watch : std::set(watches_)) {
@@ -282,10 +284,11 @@
   Proxy& proxy;
   tcp::socket down, up;
   int open = 2;
+  bool lost = false;  // bytes were dropped
 
   void start() {
     if (proxy.mode_ == LinkMode::blackhole) return pump(down, up, true);
-    up.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), proxy.workerPort_),
+    up.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), proxy.towards_),
                      [self = shared_from_this()](const Error& error) {
                        if (error) return self->kill();
                        Error ignored;
@@ -313,7 +316,7 @@
       const LinkMode mode = self->proxy.mode_;
       if (mode == LinkMode::cut) return self->kill();
       if (mode == LinkMode::blackhole || !to.is_open() || (mode == LinkMode::oneway && !towardsWorker))
-        return self->pump(from, to, towardsWorker);  // heard and dropped
+        return self->lost = true, self->pump(from, to, towardsWorker);  // heard and dropped
       auto write = [self, &from, &to, towardsWorker, piece, n] {
         asio::async_write(to, asio::buffer(piece->data(), n),
                           [self, &from, &to, towardsWorker, piece](const Error& e, std::size_t) {
@@ -321,18 +324,20 @@
                             self->pump(from, to, towardsWorker);
                           });
       };
-      if (mode != LinkMode::delay) return write();
+      double waitMs = mode == LinkMode::delay ? self->proxy.delayMs_ : 0;
+      if (mode == LinkMode::throttle) waitMs = 1000 * static_cast<double>(n) / self->proxy.bytesPerS_;
+      if (waitMs <= 0) return write();
       auto timer = std::make_shared<asio::steady_timer>(self->proxy.io_);
-      timer->expires_after(std::chrono::microseconds(static_cast<long>(self->proxy.delayMs_ * 1000)));
+      timer->expires_after(std::chrono::microseconds(static_cast<long>(waitMs * 1000)));
       timer->async_wait([timer, write](const Error&) { write(); });
     });
   }
 };
 
-Proxy::Proxy(asio::io_context& io, int gatekeeper, unsigned short workerPort, LinkOf& links)
+Proxy::Proxy(asio::io_context& io, int gatekeeper, unsigned short towards, LinkOf& links)
     : io_(io),
       gatekeeper_(gatekeeper),
-      workerPort_(workerPort),
+      towards_(towards),
       links_(links),
       acceptor_(listen(io)),
       port_(acceptor_.local_endpoint().port()) {
@@ -350,10 +355,11 @@
   });
 }
 
-void Proxy::set(LinkMode mode, double delayMs) {
-  mode_ = mode, delayMs_ = delayMs;
-  if (mode == LinkMode::cut)
-    for (const auto& pair : std::set(pairs_)) pair->kill();
+void Proxy::set(LinkMode mode, double delayMs, double bytesPerS) {
+  mode_ = mode, delayMs_ = delayMs, bytesPerS_ = bytesPerS;
+  for (const auto& pair : std::set(pairs_))
+    if (mode == LinkMode::cut || (pair->lost && mode != LinkMode::blackhole && mode != LinkMode::oneway))
+      pair->kill();
 }
 
 }  // namespace wingslip::lab
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -70,9 +70,12 @@
   // A worker changes; watches are told at once (unless the agent is down), and drains go to the judge.
   void change(std::size_t worker, const std::string& lifecycle, double startedAtMs);
   void setDown(bool down);
+  // Whether what it says can reach its gatekeeper now: what it says meanwhile was not told.
+  void setHeard(bool heard) { heard_ = heard; }
 
  private:
   struct Watch;
+  void toldOf(std::size_t worker);
   void accept();
   std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
   void tell(const std::vector<std::size_t>& changed);
@@ -84,32 +87,34 @@
   tcp::acceptor acceptor_;
   unsigned short port_;
   long generation_ = 1;
-  bool down_ = false;
+  bool down_ = false, heard_ = true;
   std::vector<std::size_t> untold_;
   std::set<std::shared_ptr<Watch>> watches_;
   asio::steady_timer beat_;
 };
 
-enum class LinkMode { pass, cut, blackhole, oneway, delay };
+enum class LinkMode { pass, cut, blackhole, oneway, delay, throttle };
 
-// A fault proxy between one gatekeeper and one worker.
+// A fault proxy between one gatekeeper and one port: a worker, its discovery agent or the store.
 class Proxy {
  public:
-  Proxy(asio::io_context& io, int gatekeeper, unsigned short workerPort, LinkOf& links);
+  Proxy(asio::io_context& io, int gatekeeper, unsigned short towards, LinkOf& links);
   unsigned short port() const { return port_; }
-  void set(LinkMode mode, double delayMs = 0);
+  // A link that has dropped bytes is reset when it heals, since TCP never leaves a hole in a stream.
+  // delay: `delayMs` is added to each piece, each way. throttle: at most `bytesPerS` each way.
+  void set(LinkMode mode, double delayMs = 0, double bytesPerS = 0);
 
  private:
   struct Pair;
   void accept();
   asio::io_context& io_;
   int gatekeeper_;
-  unsigned short workerPort_;
+  unsigned short towards_;
   LinkOf& links_;
   tcp::acceptor acceptor_;
   unsigned short port_;
   LinkMode mode_ = LinkMode::pass;
-  double delayMs_ = 0;
+  double delayMs_ = 0, bytesPerS_ = 0;
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
--- /dev/null
+++ b/tools/lab/process.cpp
@@ -0,0 +1,152 @@
+#include "process.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spdlog/spdlog.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <fstream>
+#include <random>
+#include <stdexcept>
+
+namespace wingslip::lab {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+constexpr unsigned kLowestPort = 10000;
+constexpr unsigned kMost = 300;   // gatekeepers
+constexpr unsigned kOpsEach = 3;  // processes of one gatekeeper that can be there at once, and one
+constexpr unsigned kBlock = 1 + kMost * (1 + kOpsEach);
+constexpr int kInherited = 7;  // the descriptor that BALANCER_ACCEPT_FD names
+
+}  // namespace
+
+Ports::Ports(asio::io_context& io) : marker_(io) {
+  unsigned low = 32768;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> low;
+  const unsigned blocks = low > kLowestPort ? (low - kLowestPort) / kBlock : 0;
+  if (blocks == 0) throw std::runtime_error("the ephemeral port range leaves no ports for gatekeepers");
+  const unsigned first = std::random_device()() % blocks;  // not the run's seed: labs of one seed run at once
+  for (unsigned i = 0; i < blocks; ++i) {
+    tcp::acceptor marker(io);
+    Error error;
+    const tcp::endpoint at(asio::ip::address_v4::loopback(),
+                           static_cast<unsigned short>(kLowestPort + (first + i) % blocks * kBlock));
+    marker.open(at.protocol(), error);
+    if (!error) marker.bind(at, error);
+    if (!error) marker.listen(1, error);
+    if (error) continue;
+    marker_ = std::move(marker);
+    return;
+  }
+  throw std::runtime_error("no free block of ports for the gatekeepers below the ephemeral range");
+}
+
+unsigned short Ports::listen(int gatekeeper) const {
+  return static_cast<unsigned short>(marker_.local_endpoint().port() + 1 + gatekeeper);
+}
+
+unsigned short Ports::ops(int gatekeeper, int start) const {
+  const unsigned offset = 1 + kMost + static_cast<unsigned>(gatekeeper) * kOpsEach;
+  return static_cast<unsigned short>(marker_.local_endpoint().port() + offset +
+                                     static_cast<unsigned>(start) % kOpsEach);
+}
+
+Process start(Gatekeeper& gk, const Ports& ports, const std::string& program) {
+  Process out;
+  out.ops = ports.ops(gk.index, gk.starts++);
+  const std::string ops = "127.0.0.1:" + std::to_string(out.ops);
+  const pid_t pid = ::fork();
+  if (pid < 0) throw std::runtime_error("cannot start a gatekeeper: fork failed");
+  if (pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind when the lab dies
+    std::FILE* log = std::fopen(gk.log.c_str(), "a");
+    if (log) ::dup2(::fileno(log), 2), ::dup2(::fileno(log), 1);
+    unsigned firstClosed = 3;
+    if (gk.held >= 0) {
+      ::dup2(gk.held, kInherited);
+      for (int fd = 3; fd < kInherited; ++fd) ::close(fd);
+      firstClosed = kInherited + 1;
+      ::setenv("BALANCER_ACCEPT_FD", std::to_string(kInherited).c_str(), 1);
+    }
+    // None of the lab's sockets goes with it: the marker of its ports, proxies, workers, agents.
+    if (::close_range(firstClosed, ~0U, 0) != 0)
+      for (unsigned fd = firstClosed; fd < 65536; ++fd) ::close(static_cast<int>(fd));
+    if (gk.state.empty())
+      ::unsetenv("TMPDIR");
+    else
+      ::setenv("TMPDIR", gk.state.c_str(), 1);
+    ::setenv("BALANCER_CONFIG", gk.config.c_str(), 1);
+    ::setenv("BALANCER_OPS", ops.c_str(), 1);
+    ::execl(program.c_str(), "burlwind", static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  out.pid = pid;
+  spdlog::info("event=start gatekeeper={} pid={} port={} ops={}", gk.index, pid, gk.port, out.ops);
+  return out;
+}
+
+int holdSocket(unsigned short port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  sockaddr_in at{};
+  at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (fd < 0 || ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(fd, 1024) != 0)
+    throw std::runtime_error("cannot hold port " + std::to_string(port));
+  return fd;
+}
+
+void endLeftBehind(const std::filesystem::path& pids) {
+  std::ifstream in(pids);
+  for (pid_t pid; in >> pid;) {
+    std::ifstream comm("/proc/" + std::to_string(pid) + "/comm");
+    std::string name;
+    if (comm >> name && name == "burlwind") {
+      spdlog::warn("event=left_behind pid={} action=kill", pid);
+      ::kill(pid, SIGKILL);
+    }
+  }
+}
+
+void askOps(asio::io_context& io, unsigned short port, const std::string& call,
+            std::function<void(const std::string&)> then) {
+  struct Asked {
+    explicit Asked(asio::io_context& loop) : socket(loop), timer(loop, std::chrono::seconds(1)) {}
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::string out, in;
+  };
+  auto asked = std::make_shared<Asked>(io);
+  asked->out = call + "\n";
+  asked->timer.async_wait([asked](const Error& error) {
+    Error ignored;
+    if (!error) asked->socket.close(ignored);
+  });
+  auto end = [asked, then = std::move(then)](const std::string& answer) {
+    asked->timer.cancel();
+    then(answer);
+  };
+  asked->socket.async_connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), port), [asked, end](const Error& error) {
+        if (error) return end("");
+        asio::async_write(asked->socket, asio::buffer(asked->out), [asked, end](const Error& e, std::size_t) {
+          if (e) return end("");
+          asio::async_read(asked->socket, asio::dynamic_buffer(asked->in, 1 << 20),
+                           [asked, end](const Error& ended, std::size_t) {
+                             end(ended == asio::error::eof ? asked->in : "");
+                           });
+        });
+      });
+}
+
+}  // namespace wingslip::lab
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <sstream>
@@ -11,12 +12,13 @@
 namespace wingslip::lab {
 namespace {
 
-const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",
-                                              "restart", "hup",  "agent_down", "agent_up"};
-const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "heal"};
+const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",    "restart",
+                                              "upgrade", "hup",  "agent_down", "agent_up"};
+const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "throttle", "heal"};
+const std::set<std::string> kLinks{"discovery"};
 const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
-const std::set<std::string> kFates{"served",      "refused", "failed", "closed",
-                                   "unreachable", "lost",    "wrong",  "attempts"};
+const std::set<std::string> kFates{"served", "refused", "failed",   "closed",  "unreachable",
+                                   "lost",   "wrong",   "attempts", "upgrades"};
 
 class Reader {
  public:
@@ -61,6 +63,27 @@
     return name;
   }
 
+  // A string of the table, one of `names`; empty where it is missing.
+  std::string oneOf(const toml::table& table, const char* key, const std::set<std::string>& names) const {
+    const toml::node* node = table.get(key);
+    if (!node) return "";
+    const std::string name = node->value<std::string>().value_or("?");
+    if (names.contains(name)) return name;
+    std::string list;
+    for (const std::string& one : names) list += (list.empty() ? "" : ", ") + one;
+    bad(node->source(), std::string(key) + " is one of " + list);
+  }
+
+  // The text of a JSON object; empty where it is missing.
+  std::string jsonObject(const toml::table& table, const char* key) const {
+    const toml::node* node = table.get(key);
+    if (!node) return "";
+    const std::string text = node->value<std::string>().value_or("?");
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object()) bad(node->source(), std::string(key) + " is no JSON object");
+    return text;
+  }
+
   void onlyKeys(const toml::table& table, const std::set<std::string>& keys) const {
     for (const auto& [key, node] : table)
       if (!keys.contains(std::string(key.str()))) bad(node.source(), "unknown key " + std::string(key.str()));
@@ -71,9 +94,9 @@
 };
 
 const std::map<std::string, std::string> kUndo{
-    {"kill", "restart"},   {"term", "restart"},       {"stop", "cont"},  {"cut", "heal"},
-    {"blackhole", "heal"}, {"oneway", "heal"},        {"delay", "heal"}, {"drain", "revive"},
-    {"silent", "revive"},  {"agent_down", "agent_up"}};
+    {"kill", "restart"},   {"term", "restart"},  {"stop", "cont"},          {"cut", "heal"},
+    {"blackhole", "heal"}, {"oneway", "heal"},   {"delay", "heal"},         {"drain", "revive"},
+    {"throttle", "heal"},  {"silent", "revive"}, {"agent_down", "agent_up"}};
 
 struct RandomFaults {
   double rate = 0, healAfterS = 0, fromS = 0, untilS = 0;
@@ -98,6 +121,7 @@
     step.what = what, undo.what = kUndo.at(what);
     for (Step* one : {&step, &undo}) (onGatekeeper ? one->gatekeeper : one->worker) = target;
     if (what == "delay") step.delayMs = 300;
+    if (what == "throttle") step.bytesPerS = 2000;
     s.steps.push_back(step), s.steps.push_back(undo);
   }
   std::stable_sort(s.steps.begin(), s.steps.end(),
@@ -122,10 +146,14 @@
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
   if (const toml::table* fleet = file["fleet"].as_table()) {
-    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap"});
+    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap", "held_sockets"});
     s.gatekeepers = r.number(*fleet, "gatekeepers", s.gatekeepers, 1, 300);
     s.workers = r.number(*fleet, "workers", s.workers, 1, 1000);
     s.attemptsCap = r.number(*fleet, "attempts_cap", s.attemptsCap, 1, 10);
+    if (const toml::node* held = fleet->get("held_sockets")) {
+      if (!held->is_boolean()) r.bad(held->source(), "held_sockets is true or false");
+      s.heldSockets = *held->value<bool>();
+    }
     if (const toml::array* zones = (*fleet)["zones"].as_array()) {
       s.zones.clear();
       for (const toml::node& zone : *zones) {
@@ -159,7 +187,8 @@
     for (const toml::node& node : *steps) {
       const toml::table* table = node.as_table();
       if (!table) r.bad(node.source(), "a step is a table: [[step]]");
-      r.onlyKeys(*table, {"at_s", "do", "gatekeeper", "worker", "zone", "delay_ms"});
+      r.onlyKeys(*table,
+                 {"at_s", "do", "gatekeeper", "worker", "zone", "link", "delay_ms", "bytes_per_s", "patch"});
       Step step;
       step.line = static_cast<int>(table->source().begin.line);
       if (!table->get("at_s")) r.bad(table->source(), "a step has no at_s");
@@ -176,9 +205,18 @@
       step.worker = r.index(*table, "worker", s.workers, "worker");
       step.zone = r.zone(*table, s.zones);
       step.delayMs = r.number(*table, "delay_ms", 0.0, 0, 60000);
+      step.bytesPerS = r.number(*table, "bytes_per_s", 0.0, 1, 1e9);
+      step.link = r.oneOf(*table, "link", kLinks);
+      step.patch = r.jsonObject(*table, "patch");
+      if (!step.patch.empty() && step.what != "hup") r.bad(what->source(), "only hup takes a patch");
       const bool onWorkers = step.worker || step.zone;
+      if (onWorkers && !step.link.empty()) r.bad(what->source(), "a link to a worker or by name, not both");
       if (kGatekeeperFaults.contains(step.what)) {
         if (!step.gatekeeper) r.bad(what->source(), step.what + " needs a gatekeeper");
+        if (step.what == "upgrade" && !s.heldSockets)
+          r.bad(what->source(), "upgrade needs fleet.held_sockets = true");
+      } else if (kLinkFaults.contains(step.what) && !step.link.empty()) {
+        // all gatekeepers' links of that name, or one's
       } else if (kLinkFaults.contains(step.what) || kWorkerFaults.contains(step.what)) {
         if (!onWorkers) r.bad(what->source(), step.what + " needs a worker or a zone");
         if (kWorkerFaults.contains(step.what) && step.gatekeeper)
@@ -186,6 +224,8 @@
       } else {
         r.bad(what->source(), "unknown fault " + step.what);
       }
+      if (step.what == "throttle" && !(step.bytesPerS > 0))
+        r.bad(what->source(), "throttle needs bytes_per_s");
       if (step.what == "delay" && !(step.delayMs > 0)) r.bad(what->source(), "delay needs delay_ms above 0");
       s.steps.push_back(step);
     }
@@ -200,7 +240,7 @@
       const toml::node* fate = table->get("fate");
       if (!fate || !fate->is_string() || !kFates.contains(*fate->value<std::string>()))
         r.bad(fate ? fate->source() : table->source(),
-              "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts");
+              "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts, upgrades");
       e.fate = *fate->value<std::string>();
       e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
       e.worker = r.index(*table, "worker", s.workers, "worker");
@@ -227,9 +267,9 @@
     for (const toml::node& fault : *faults) {
       const std::optional<std::string> name = fault.value<std::string>();
       if (!name || !kUndo.contains(*name))
-        r.bad(fault.source(),
-              "no random fault " + name.value_or("?") +
-                  " (one of kill, term, stop, cut, blackhole, oneway, delay, drain, silent, agent_down)");
+        r.bad(fault.source(), "no random fault " + name.value_or("?") +
+                                  " (one of kill, term, stop, cut, blackhole, oneway, delay, throttle, "
+                                  "drain, silent, agent_down)");
       f.faults.push_back(*name);
     }
     addRandomFaults(s, f, seed);
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -16,22 +16,25 @@
 };
 
 // One fault or repair at its time. Which target fields are set depends on `what`:
-// gatekeeper faults (kill, stop, cont, term, restart, hup) set `gatekeeper`; link faults (cut, blackhole,
-// oneway, delay, heal) set `worker` or `zone` and optionally `gatekeeper` (all when missing); worker faults
-// (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults (agent_down, agent_up) set
-// `gatekeeper`.
+// gatekeeper faults (kill, stop, cont, term, restart, upgrade, hup) set `gatekeeper`; link faults (cut,
+// blackhole, oneway, delay, throttle, heal) set `worker`, `zone` or `link` and optionally `gatekeeper` (all
+// when missing); worker faults (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults
+// (agent_down, agent_up) set `gatekeeper`.
 struct Step {
   double atS = 0;  // seconds from the start of the load
   std::string what;
   std::optional<int> gatekeeper, worker;
   std::optional<std::string> zone;
-  double delayMs = 0;  // `delay` only: added to each piece, each way
-  int line = 0;        // where it stands in the file, for messages
+  std::string link;      // "discovery": the links are those of gatekeepers to their agents
+  double delayMs = 0;    // `delay` only: added to each piece, each way
+  double bytesPerS = 0;  // `throttle` only: what passes at most, each way
+  std::string patch;     // `hup` only: a JSON merge patch of that gatekeeper's configuration file
+  int line = 0;          // where it stands in the file, for messages
 };
 
 // A count that the run must reach: fates (served, refused, failed, closed, unreachable, lost, wrong) of the
-// requests sent in [afterS, beforeS), at one gatekeeper or all; or `attempts` that came to a worker or a
-// zone's workers in that time.
+// requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
+// workers in that time; or `upgrades` whose old process has ended in order.
 struct Expect {
   std::string fate;
   std::optional<int> gatekeeper, worker;
@@ -57,6 +60,9 @@
   int workerInFlight = 32;
   double coldS = 0;  // a worker that starts anew answers 4 times slower, falling to 1 over this
   int attemptsCap = 3;
+  // The lab holds the clients' listening sockets, as a platform does that upgrades in place; `upgrade` needs
+  // it.
+  bool heldSockets = false;
   std::vector<Step> steps;
   std::vector<Expect> expects;
 
