Add duties held by one process: leases, fencing tokens, the fleet's roster, a store in the lab

Change: src/duty/ (core of sessions, leases and tokens; the roster; a bounded client of a Consul-like store; a driver), off unless the configuration has coordination; calls duties and roster, figures svc.duty.*; the lab has a stand-in of the store with faults, links to it through the fault proxy, steps on whoever holds the duty, and judges that tokens only rise.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -1,7 +1,9 @@
 #include "node/config.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
@@ -15,6 +17,7 @@
 using nlohmann::json;
 
 constexpr unsigned kLeastSockets = 64;
+constexpr std::size_t kMostPrefix = 128;
 constexpr double kMostMemoryMb = 1024 * 1024;  // a larger limit is taken for this one: no cap comes near it
 
 [[noreturn]] void bad(const std::string& what) { throw std::runtime_error("configuration: " + what); }
@@ -91,6 +94,7 @@
     for (const auto& [key, item] : value.items()) {
       const std::string path = at + "/" + key;
       if (item.is_null()) continue;
+      if (path == "/coordination") continue;  // may be switched on and off
       out.insert(path);
       if (path != "/known") out.merge(keysOf(item, path));
     }
@@ -132,6 +136,40 @@
   }
 }
 
+double spanOf(const json& table, const char* key, double fallback, double least, double most) {
+  const auto found = table.find(key);
+  if (found == table.end()) return fallback;
+  if (!found->is_number() || !(found->get<double>() >= least) || !(found->get<double>() <= most))
+    bad("coordination." + std::string(key) + " is not a number within " + std::to_string(std::lround(least)) +
+        " to " + std::to_string(std::lround(most)));
+  return found->get<double>();
+}
+
+std::optional<Coordination> readCoordination(const json& file) {
+  const auto found = file.find("coordination");
+  if (found == file.end() || found->is_null()) return std::nullopt;
+  if (!found->is_object()) bad("coordination is not an object");
+  for (const auto& [key, value] : found->items())
+    if (key != "store" && key != "prefix" && key != "ttl_ms" && key != "lock_delay_ms")
+      bad("coordination has an unknown key " + key.substr(0, 40));
+  Coordination out;
+  if (!found->contains("store") || !(*found)["store"].is_string()) bad("coordination.store is missing");
+  out.store = parseEndpoint((*found)["store"].get<std::string>());
+  if (out.store.port() == 0) bad("coordination.store has no port");
+  out.prefix = found->value("prefix", json("wingslip")).is_string()
+                   ? found->value("prefix", std::string("wingslip"))
+                   : std::string();
+  const bool plainName = std::all_of(out.prefix.begin(), out.prefix.end(), [](unsigned char c) {
+    return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/';
+  });
+  if (!plainName || out.prefix.empty() || out.prefix.size() > kMostPrefix || out.prefix.front() == '/' ||
+      out.prefix.back() == '/' || out.prefix.find("//") != std::string::npos)
+    bad("coordination.prefix is not a path of letters, digits, '-', '_' and '.', within 128 characters");
+  out.ttlMs = spanOf(*found, "ttl_ms", out.ttlMs, 1000, 86400000);
+  out.lockDelayMs = spanOf(*found, "lock_delay_ms", out.lockDelayMs, 0, 60000);
+  return out;
+}
+
 Config fromJson(const json& file) {
   Config out;
   out.name = textOf(file, "name");
@@ -144,6 +182,7 @@
   if (file.contains("known")) out.known = file["known"].dump();
   if (!file.contains("settings") || !file["settings"].is_object()) bad("settings is missing");
   checkSettings(file["settings"]);
+  out.coordination = readCoordination(file);
   const auto keys = keysOf(file);
   out.keys.assign(keys.begin(), keys.end());
   std::string lines;
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -13,6 +13,15 @@
 
 namespace burlwind {
 
+// The store through which gatekeepers agree on who holds a duty (`docs/design.md`).
+struct Coordination {
+  boost::asio::ip::tcp::endpoint store;
+  std::string prefix;    // of all keys
+  double ttlMs = 10000;  // of this process's session
+  double lockDelayMs = 1000;
+  bool operator==(const Coordination&) const = default;
+};
+
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
@@ -28,7 +37,9 @@
   std::string known;  // the list of workers as last had, in discovery's form; may be old
   irisring::Settings settings;
   irisring::HostSettings host;
-  std::vector<std::string> keys;  // paths of all keys but those within `known`; a changed file has them all
+  std::optional<Coordination> coordination;  // nothing: no duties, and nothing of them runs
+  std::vector<std::string>
+      keys;  // paths of all keys but those within `known` and `coordination`; a changed file has them all
 };
 
 // All throw std::runtime_error with one plain line on what is missing or malformed.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -41,6 +41,7 @@
 constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
 constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
 constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
+constexpr Time kRetireWithin = 1000;  // for what is given back to a store that is used no more
 constexpr std::size_t kMostNamed = 8192, kMostClasses = 512;
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -146,9 +147,17 @@
     leaveLater();
   }
   if (!config_.stateDir.empty()) followExclusions();
+  coordinate();
   reportLater();
 }
 
+void Gatekeeper::coordinate() {
+  if (!config_.coordination) return;
+  coordinator_ = std::make_unique<duty::Coordinator>(io_, *config_.coordination, config_.name,
+                                                     config_.settings.gateways, config_.seed, pressure_);
+  coordinator_->start();
+}
+
 // --- From the operators ----------------------------------------------------------------------------------
 
 // The list is known, and no change of it is on its way; what was excluded was read before.
@@ -164,7 +173,16 @@
   Metrics figures = metrics_;
   figures.attempts = pool_.attemptsWritten();
   figures.shortHere = pool_.shortHere();
-  return telemetryText(figures, {held_.size(), census.listed, census.avoided}, pressure_.telemetry());
+  return telemetryText(figures, {held_.size(), census.listed, census.avoided},
+                       pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : ""));
+}
+
+std::string Gatekeeper::duties() const {
+  return coordinator_ ? coordinator_->duties() : "400 no store is configured\n";
+}
+
+std::string Gatekeeper::roster() const {
+  return coordinator_ ? coordinator_->roster() : "400 no store is configured\n";
 }
 
 bool Gatekeeper::exclude(const std::string& id) {
@@ -303,6 +321,13 @@
     std::fprintf(stderr, "burlwind: limits.memory_mb stays at %g, as at the start\n", config_.memoryMb);
   for (const std::string& name : config_.host.classes)
     if (metrics_.classes.size() < kMostClasses) metrics_.classes.try_emplace(name);
+  if (config.coordination != config_.coordination) {
+    config_.coordination = config.coordination;
+    if (coordinator_) coordinator_->drain();
+    retired_ = std::move(coordinator_);
+    if (retired_) retired_->leave(kRetireWithin, [] {});
+    coordinate();
+  }
   ++metrics_.reconfigOk;
   discovery_->moveTo(config.discovery);
   std::fprintf(stderr, "burlwind: configuration read again\n");
@@ -312,6 +337,10 @@
 // has are kept for a while, so that what their clients are sending is heard.
 void Gatekeeper::drain(std::function<void()> done) {
   draining_ = true;
+  if (coordinator_) {
+    coordinator_->drain();
+    done = [this, done = std::move(done)] { coordinator_->leave(0, done); };
+  }
   server_.beginDrain();
   const bool handedOn = config_.acceptFd >= 0;
   if (handedOn) server_.stopAccepting();
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "duty/coordinator.hpp"
 #include "irisring/decide.hpp"
 #include "node/back_pressure.hpp"
 #include "node/client_server.hpp"
@@ -86,6 +87,8 @@
   std::string telemetry() const override;
   bool exclude(const std::string& id) override;
   bool include(const std::string& id) override;
+  std::string duties() const override;
+  std::string roster() const override;
 
   // Actions
   void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
@@ -107,6 +110,7 @@
   void dropAttempt(irisring::RequestId id);
   void acceptOnceReady();
   void followExclusions();
+  void coordinate();
   void applyExclusions(const std::set<std::string>& before);
   void noteNamed(const std::string& id);
   void leaveLater();
@@ -138,6 +142,7 @@
   Exclusions exclusions_;
   std::unordered_set<std::string> named_;  // ids that lists have named, of which operators may speak
   std::optional<OpsServer> ops_;
+  std::unique_ptr<duty::Coordinator> coordinator_, retired_;  // retired_: gives back what it held
   std::chrono::steady_clock::time_point startedAt_;
   boost::asio::steady_timer drain_, report_, follow_, accept_, leave_;
   unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -133,6 +133,8 @@
 std::string OpsServer::answerTo(const std::string& line) {
   if (line == "readyz") return operated_.readyToServe() ? "200 ready\n" : "400 not ready\n";
   if (line == "telemetry") return operated_.telemetry();
+  if (line == "duties") return operated_.duties();
+  if (line == "roster") return operated_.roster();
   const auto space = line.find(' ');
   const std::string verb = line.substr(0, space);
   const std::string id = space == std::string::npos ? "" : line.substr(space + 1);
--- a/src/node/ops_server.hpp
+++ b/src/node/ops_server.hpp
@@ -23,6 +23,9 @@
   // Both are false for an id that no list has ever named. Repeating either changes nothing.
   virtual bool exclude(const std::string& id) = 0;
   virtual bool include(const std::string& id) = 0;
+  // Of duties that one process of the fleet holds; `400 ...` where no store is configured.
+  virtual std::string duties() const = 0;
+  virtual std::string roster() const = 0;
 };
 
 class OpsServer {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -18,7 +18,7 @@
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure}/*.cpp src/{node,pressure}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure,duty}/*.cpp src/{node,pressure,duty}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
   tools/lab/*.cpp tools/lab/*.hpp
 
 for kind in plain sanitize; do
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -17,6 +17,7 @@
 #include "net.hpp"
 #include "plot.hpp"
 #include "process.hpp"
+#include "store.hpp"
 
 namespace wingslip::lab {
 namespace beast = boost::beast;
@@ -86,6 +87,7 @@
     fs::create_directories(o_.out);
     endLeftBehind(fs::path(o_.out) / "pids");
     start_ = Clock::now();
+    if (s_.store) startStore();
     for (int w = 0; w < s_.workers; ++w)
       workers_.push_back(std::make_unique<Worker>(
           io_, w, s_, judge_, links_, [this] { return nowMs(); }, o_.seed * 1000 + w));
@@ -99,6 +101,7 @@
       }
       agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return nowMs(); }));
       agentLinks_.push_back(std::make_unique<Proxy>(io_, g, agents_.back()->port(), links_));
+      if (store_) storeLinks_.push_back(std::make_unique<Proxy>(io_, g, store_->port(), links_));
       gatekeepers_.push_back(configured(g));
     }
     for (Gatekeeper& gk : gatekeepers_) launch(gk);
@@ -115,6 +118,48 @@
   }
 
  private:
+  void startStore() {
+    store_ = std::make_unique<Store>(io_, [from = Clock::now()] {
+      return std::chrono::duration<double, std::milli>(Clock::now() - from).count();
+    });
+    store_->onSet = [this](const std::string& key, const std::string& value,
+                           const std::vector<std::string>& members) {
+      const json record = json::parse(value, nullptr, false);
+      if (key != "lab/duties/roster/record" || !record.is_object()) return;
+      const std::string holder = record.value("holder", "");
+      if (judge_.recorded(record.value("token", std::uint64_t{0}), holder, nowMs())) {
+        // members/gN/INSTANCE names the gatekeeper behind the instance.
+        int gatekeeper = -1;
+        for (const std::string& member : members)
+          if (member.ends_with("/" + holder))
+            gatekeeper = std::atoi(member.c_str() + std::string("lab/members/g").size());
+        spdlog::info("event=claim token={} gatekeeper={} at_ms={:.0f}", record["token"].dump(), gatekeeper,
+                     nowMs());
+        holder_ = std::max(0, gatekeeper);
+        noted_.push_back({"claims", gatekeeper, nowMs()});
+        claims_.push_back({{"at_ms", nowMs()}, {"gatekeeper", gatekeeper}, {"token", record["token"]}});
+        marks_.push_back({nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
+      }
+      const json roster = json::parse(record.value("data", ""), nullptr, false);
+      if (!roster.is_object()) return;
+      std::map<std::string, long> counts;
+      for (const auto& [name, row] : roster["rows"].items()) ++counts[row[0].get<std::string>()];
+      rosters_.emplace_back(nowMs(), counts);
+    };
+  }
+
+  void storeFault(const std::string& what) {
+    if (what == "store_stop") store_->stop();
+    if (what == "store_start") store_->startAgain();
+    if (what == "store_wipe") store_->wipe();
+    if (what == "store_save") store_->save();
+    if (what == "store_old") store_->restore();
+    if (what == "store_silent") store_->set(Store::Mode::silent);
+    if (what == "store_errors") store_->set(Store::Mode::errors);
+    if (what == "store_lose") store_->set(Store::Mode::losesAnswers);
+    if (what == "store_ok") store_->set(Store::Mode::well);
+  }
+
   // The gatekeeper's files, and its listening socket where the lab holds it.
   Gatekeeper configured(int g) {
     Gatekeeper gk;
@@ -130,14 +175,18 @@
     }
     char seed[17];
     std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
-    std::ofstream(gk.config) << json{
-        {"name", name},
-        {"listen", "127.0.0.1:" + std::to_string(gk.port)},
-        {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
-        {"seed", seed},
-        {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
-        {"settings",
-         settingsFor(s_, g)}}.dump(1);
+    json file{{"name", name},
+              {"listen", "127.0.0.1:" + std::to_string(gk.port)},
+              {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
+              {"seed", seed},
+              {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
+              {"settings", settingsFor(s_, g)}};
+    if (store_)
+      file["coordination"] = {{"store", "127.0.0.1:" + std::to_string(storeLinks_[g]->port())},
+                              {"prefix", "lab"},
+                              {"ttl_ms", s_.storeTtlMs},
+                              {"lock_delay_ms", s_.storeLockDelayMs}};
+    std::ofstream(gk.config) << file.dump(1);
     return gk;
   }
 
@@ -283,15 +332,23 @@
     spdlog::warn("event=not_all_ready after_s=15");
   }
 
-  void apply(const Step& step) {
+  void apply(const Step& asked) {
+    Step step = asked;
+    if (step.role == "holder") former_ = holder_;
+    if (!step.role.empty()) step.gatekeeper = former_;
     spdlog::info("event=step at_s={} do={} gatekeeper={} worker={} zone={}", step.atS, step.what,
                  step.gatekeeper.value_or(-1), step.worker.value_or(-1), step.zone.value_or("-"));
     faults_.push_back({{"at_s", step.atS}, {"do", step.what}, {"line", step.line}});
     marks_.push_back({step.atS, labelOf(step)});
+    if (step.what.rfind("store_", 0) == 0) return storeFault(step.what);
     const auto mode = kModes.find(step.what);
     if (mode != kModes.end() && !step.link.empty()) {
       for (int g = 0; g < s_.gatekeepers; ++g) {
         if (step.gatekeeper && *step.gatekeeper != g) continue;
+        if (step.link == "store") {
+          storeLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
+          continue;
+        }
         agentLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
         agents_[g]->setHeard(mode->second == LinkMode::pass || mode->second == LinkMode::delay ||
                              mode->second == LinkMode::throttle);
@@ -307,6 +364,7 @@
       if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs()), gk.stopped = false;
       if (step.what == "hup") hup(gk, step.patch);
       if (step.what == "upgrade") upgrade(gk);
+      if (step.what == "invalidate") store_->invalidate("g" + std::to_string(g));
       if (step.what == "restart") {
         if (gk.now.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.now.pid, nullptr, 0), gk.now = {};
         ended_.erase(g);
@@ -466,6 +524,14 @@
           [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
           before);
     if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
+    if (e.fate.rfind("roster_", 0) == 0) {
+      long n = 0;
+      for (const auto& [at, counts] : rosters_) {
+        const auto found = counts.find(e.fate.substr(7));
+        if (at < before) n = found == counts.end() ? 0 : found->second;
+      }
+      return n;
+    }
     return std::count_if(noted_.begin(), noted_.end(), [&](const Noted& n) {
       return n.what == e.fate && (!e.gatekeeper || *e.gatekeeper == n.gatekeeper) && n.atMs >= after &&
              n.atMs < before;
@@ -504,6 +570,14 @@
     for (const double q : {0.5, 0.9, 0.99})
       summary["served_ms"]["p" + std::to_string(static_cast<int>(q * 100))] =
           times.empty() ? 0.0 : times[static_cast<std::size_t>(q * (times.size() - 1))];
+    if (store_) {
+      const auto& seconds = store_->callsBySecond();
+      summary["store"] = {
+          {"calls", store_->calls()},
+          {"most_calls_a_second", seconds.empty() ? 0 : *std::max_element(seconds.begin(), seconds.end())},
+          {"calls_by_second", seconds},
+          {"claims", claims_}};
+    }
     std::vector<std::string> broken = judge_.broken();
     broken.insert(broken.end(), crashes_.begin(), crashes_.end());
     summary["broken"] = broken;
@@ -536,6 +610,8 @@
   std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Agent>> agents_;
   std::vector<std::unique_ptr<Proxy>> agentLinks_;  // gatekeeper to its agent
+  std::unique_ptr<Store> store_;
+  std::vector<std::unique_ptr<Proxy>> storeLinks_;
   std::vector<Gatekeeper> gatekeepers_;
   std::set<int> ended_;
   std::vector<std::string> crashes_;
@@ -547,6 +623,9 @@
     double atMs;
   };
   std::vector<Noted> noted_;
+  json claims_ = json::array();
+  int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
+  std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
   double nextS_ = 0;
   int inFlight_ = 0;
   long notSent_ = 0, mostKb_ = 0, mostFds_ = 0;
@@ -574,6 +653,10 @@
             << " p99=" << s["served_ms"]["p99"] << "\nlab: " << s["lab"]["cpu_s"] << " s of CPU, "
             << s["lab"]["most_kb"] << " kB; a gatekeeper at most " << s["gatekeeper_most"]["kb"] << " kB, "
             << s["gatekeeper_most"]["descriptors"] << " descriptors"
+            << (s.contains("store") ? "\nstore: " + s["store"]["calls"].dump() + " calls, at most " +
+                                          s["store"]["most_calls_a_second"].dump() + " a second; " +
+                                          std::to_string(s["store"]["claims"].size()) + " claims"
+                                    : "")
             << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
   for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
   for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
--- a/tools/lab/judge.cpp
+++ b/tools/lab/judge.cpp
@@ -96,6 +96,17 @@
 }
 void Judge::drainUndone(int gatekeeper, int worker) { drained_.erase({gatekeeper, worker}); }
 
+bool Judge::recorded(std::uint64_t token, const std::string& holder, double atMs) {
+  if (token < token_)
+    breaks("an act under token " + std::to_string(token) + " took effect at " + std::to_string(atMs) +
+           " ms, after token " + std::to_string(token_));
+  if (token == token_ && holder != holder_)
+    breaks("token " + std::to_string(token) + " has two holders: " + holder_ + " and " + holder);
+  if (token <= token_) return false;
+  token_ = token, holder_ = holder;
+  return true;
+}
+
 void Judge::down(int gatekeeper, double fromMs) {
   auto& spans = downs_[gatekeeper];
   if (spans.empty() || spans.back().second < fromMs) spans.emplace_back(fromMs, 1e18);
--- a/tools/lab/judge.hpp
+++ b/tools/lab/judge.hpp
@@ -46,6 +46,10 @@
   void down(int gatekeeper, double fromMs);
   void up(int gatekeeper, double atMs);
 
+  // A duty's record was written under `token` by `holder`: tokens only rise, and each has one holder.
+  // True: the first write under this token.
+  bool recorded(std::uint64_t token, const std::string& holder, double atMs);
+
   // Requests still open at the end are lost. Then: the counts of fates and the broken rules.
   void close(double atMs);
   long count(Fate fate, std::optional<int> gatekeeper = {}, double afterMs = 0, double beforeMs = 1e18) const;
@@ -73,6 +77,8 @@
   std::vector<std::pair<int, double>> attemptLog_;  // worker, at: at most attemptsCap a request
   std::map<std::pair<int, int>, double> drained_;   // (gatekeeper, worker) -> told at
   std::map<int, std::vector<std::pair<double, double>>> downs_;
+  std::uint64_t token_ = 0;  // the highest recorded, and its holder
+  std::string holder_;
   std::vector<std::string> broken_;  // the first 100
   long brokenCount_ = 0;
 };
--- a/tools/lab/net.cpp
+++ b/tools/lab/net.cpp
@@ -17,16 +17,6 @@
 constexpr auto kBeat = std::chrono::seconds(2);  // PROTOCOL: an empty line every 2 s while nothing changes
 constexpr std::size_t kPiece = 16384;
 
-tcp::acceptor listen(asio::io_context& io, unsigned short port = 0) {
-  tcp::acceptor acceptor(io);
-  const tcp::endpoint at(asio::ip::address_v4::loopback(), port);
-  acceptor.open(at.protocol());
-  acceptor.set_option(asio::socket_base::reuse_address(true));
-  acceptor.bind(at);
-  acceptor.listen();
-  return acceptor;
-}
-
 void reset(tcp::socket& socket) {
   Error ignored;
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -41,6 +31,16 @@
 
 }  // namespace
 
+tcp::acceptor listenAt(asio::io_context& io, unsigned short port) {
+  tcp::acceptor acceptor(io);
+  const tcp::endpoint at(asio::ip::address_v4::loopback(), port);
+  acceptor.open(at.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(at);
+  acceptor.listen();
+  return acceptor;
+}
+
 // ---- Worker
 
 class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
@@ -113,7 +113,7 @@
 Worker::Worker(asio::io_context& io, int index, const Scenario& s, Judge& judge, const LinkOf& links,
                std::function<double()> nowMs, std::uint64_t seed)
     : io_(io), index_(index), s_(s), judge_(judge), links_(links), nowMs_(std::move(nowMs)), random_(seed) {
-  acceptor_ = std::make_unique<tcp::acceptor>(listen(io));
+  acceptor_ = std::make_unique<tcp::acceptor>(listenAt(io));
   port_ = acceptor_->local_endpoint().port();
   startedMs_ = -1e9;  // long warm
   accept();
@@ -135,7 +135,7 @@
   open_.clear();
   mode = {};
   startedMs_ = nowMs_();
-  acceptor_ = std::make_unique<tcp::acceptor>(listen(io_, port_));
+  acceptor_ = std::make_unique<tcp::acceptor>(listenAt(io_, port_));
   accept();
 }
 
@@ -155,7 +155,7 @@
       list_(std::move(list)),
       judge_(judge),
       nowMs_(std::move(nowMs)),
-      acceptor_(listen(io)),
+      acceptor_(listenAt(io)),
       port_(acceptor_.local_endpoint().port()),
       beat_(io) {
   accept();
@@ -339,7 +339,7 @@
       gatekeeper_(gatekeeper),
       towards_(towards),
       links_(links),
-      acceptor_(listen(io)),
+      acceptor_(listenAt(io)),
       port_(acceptor_.local_endpoint().port()) {
   accept();
 }
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -22,6 +22,9 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
+// A listener on 127.0.0.1; port 0: any free one.
+tcp::acceptor listenAt(asio::io_context& io, unsigned short port = 0);
+
 // Which gatekeeper's link a connection to a worker came over: the proxy's local port of its upstream socket.
 using LinkOf = std::map<unsigned short, int>;
 
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -12,13 +12,17 @@
 namespace wingslip::lab {
 namespace {
 
-const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",    "restart",
-                                              "upgrade", "hup",  "agent_down", "agent_up"};
+const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",     "restart",
+                                              "upgrade", "hup",  "agent_down", "agent_up", "invalidate"};
+const std::set<std::string> kStoreFaults{"store_stop",   "store_start", "store_wipe",
+                                         "store_save",   "store_old",   "store_silent",
+                                         "store_errors", "store_lose",  "store_ok"};
 const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "throttle", "heal"};
-const std::set<std::string> kLinks{"discovery"};
+const std::set<std::string> kLinks{"discovery", "store"};
 const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
-const std::set<std::string> kFates{"served", "refused", "failed",   "closed",  "unreachable",
-                                   "lost",   "wrong",   "attempts", "upgrades"};
+const std::set<std::string> kFates{
+    "served",   "refused",  "failed", "closed",      "unreachable",     "lost",        "wrong",
+    "attempts", "upgrades", "claims", "roster_here", "roster_draining", "roster_left", "roster_missing"};
 
 class Reader {
  public:
@@ -141,7 +145,7 @@
     throw BadScenario(out.str());
   }
   const Reader r(path);
-  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "step", "expect", "random"});
+  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "store", "step", "expect", "random"});
   Scenario s;
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
@@ -182,6 +186,12 @@
     s.workerInFlight = r.number(*worker, "most_in_flight", s.workerInFlight, 1, 100000);
     s.coldS = r.number(*worker, "cold_s", s.coldS, 0, 600);
   }
+  if (const toml::table* store = file["store"].as_table()) {
+    r.onlyKeys(*store, {"ttl_ms", "lock_delay_ms"});
+    s.store = true;
+    s.storeTtlMs = r.number(*store, "ttl_ms", s.storeTtlMs, 1000, 86400000);
+    s.storeLockDelayMs = r.number(*store, "lock_delay_ms", s.storeLockDelayMs, 0, 60000);
+  }
   double last = 0;
   if (const toml::array* steps = file["step"].as_array()) {
     for (const toml::node& node : *steps) {
@@ -201,7 +211,13 @@
       const toml::node* what = table->get("do");
       if (!what || !what->is_string()) r.bad(table->source(), "a step has no do = \"...\"");
       step.what = *what->value<std::string>();
-      step.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
+      const toml::node* target = table->get("gatekeeper");
+      if (s.store && target && target->is_string()) {
+        step.role = r.oneOf(*table, "gatekeeper", {"holder", "former"});
+        step.gatekeeper = 0;
+      } else {
+        step.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
+      }
       step.worker = r.index(*table, "worker", s.workers, "worker");
       step.zone = r.zone(*table, s.zones);
       step.delayMs = r.number(*table, "delay_ms", 0.0, 0, 60000);
@@ -211,7 +227,12 @@
       if (!step.patch.empty() && step.what != "hup") r.bad(what->source(), "only hup takes a patch");
       const bool onWorkers = step.worker || step.zone;
       if (onWorkers && !step.link.empty()) r.bad(what->source(), "a link to a worker or by name, not both");
-      if (kGatekeeperFaults.contains(step.what)) {
+      const bool ofStore =
+          kStoreFaults.contains(step.what) || step.what == "invalidate" || step.link == "store";
+      if (ofStore && !s.store) r.bad(what->source(), step.what + " needs a [store]");
+      if (kStoreFaults.contains(step.what)) {
+        if (step.gatekeeper || onWorkers) r.bad(what->source(), step.what + " is the store's alone");
+      } else if (kGatekeeperFaults.contains(step.what)) {
         if (!step.gatekeeper) r.bad(what->source(), step.what + " needs a gatekeeper");
         if (step.what == "upgrade" && !s.heldSockets)
           r.bad(what->source(), "upgrade needs fleet.held_sockets = true");
@@ -240,7 +261,8 @@
       const toml::node* fate = table->get("fate");
       if (!fate || !fate->is_string() || !kFates.contains(*fate->value<std::string>()))
         r.bad(fate ? fate->source() : table->source(),
-              "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts, upgrades");
+              "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts, upgrades, "
+              "claims, roster_*");
       e.fate = *fate->value<std::string>();
       e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
       e.worker = r.index(*table, "worker", s.workers, "worker");
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -19,13 +19,18 @@
 // gatekeeper faults (kill, stop, cont, term, restart, upgrade, hup) set `gatekeeper`; link faults (cut,
 // blackhole, oneway, delay, throttle, heal) set `worker`, `zone` or `link` and optionally `gatekeeper` (all
 // when missing); worker faults (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults
-// (agent_down, agent_up) set `gatekeeper`.
+// (agent_down, agent_up) and `invalidate` (its sessions at the store) set `gatekeeper`; the store's
+// (store_stop, store_start, store_wipe, store_save, store_old, store_silent, store_errors, store_lose,
+// store_ok) set none.
 struct Step {
   double atS = 0;  // seconds from the start of the load
   std::string what;
   std::optional<int> gatekeeper, worker;
+  // In place of a gatekeeper's number: "holder", who holds the duty at that time; "former", whom the last
+  // step with "holder" meant.
+  std::string role;
   std::optional<std::string> zone;
-  std::string link;      // "discovery": the links are those of gatekeepers to their agents
+  std::string link;      // "discovery", "store": the links are those of gatekeepers to it
   double delayMs = 0;    // `delay` only: added to each piece, each way
   double bytesPerS = 0;  // `throttle` only: what passes at most, each way
   std::string patch;     // `hup` only: a JSON merge patch of that gatekeeper's configuration file
@@ -34,7 +39,9 @@
 
 // A count that the run must reach: fates (served, refused, failed, closed, unreachable, lost, wrong) of the
 // requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
-// workers in that time; or `upgrades` whose old process has ended in order.
+// workers in that time; `upgrades` whose old process has ended in order; `claims` of the duty (a new token
+// was recorded); or of the last roster recorded before beforeS how many names are `roster_here`,
+// `roster_draining`, `roster_left`, `roster_missing`.
 struct Expect {
   std::string fate;
   std::optional<int> gatekeeper, worker;
@@ -63,6 +70,9 @@
   // The lab holds the clients' listening sockets, as a platform does that upgrades in place; `upgrade` needs
   // it.
   bool heldSockets = false;
+  // `[store]`: gatekeepers have a coordination store, with sessions of this TTL and lock-delay.
+  bool store = false;
+  double storeTtlMs = 2000, storeLockDelayMs = 200;
   std::vector<Step> steps;
   std::vector<Expect> expects;
 
--- /dev/null
+++ b/tools/lab/store.cpp
@@ -0,0 +1,271 @@
+#include "store.hpp"
+
+#include <algorithm>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include "duty/base64.hpp"
+#include "net.hpp"
+
+namespace wingslip::lab {
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Error = boost::system::error_code;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto kBeat = std::chrono::milliseconds(20);  // between looks for sessions whose time is over
+constexpr std::size_t kMostSeconds = 3600;
+
+std::string unescaped(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+// A duration as Go writes it, of the forms in use: "1500ms", "10s", "5m".
+double milliseconds(const std::string& text) {
+  std::size_t end = 0;
+  const double n = std::stod(text, &end);
+  const std::string unit = text.substr(end);
+  return n * (unit == "ms" ? 1 : unit == "s" ? 1000 : 60000);
+}
+
+struct Target {
+  std::string path;
+  std::map<std::string, std::string> query;
+};
+
+Target targetOf(const std::string& text) {
+  Target out;
+  const auto question = text.find('?');
+  out.path = text.substr(0, question);
+  if (question == std::string::npos) return out;
+  std::string rest = text.substr(question + 1);
+  while (!rest.empty()) {
+    const auto end = rest.find('&');
+    const std::string one = rest.substr(0, end);
+    const auto equals = one.find('=');
+    out.query[one.substr(0, equals)] = equals == std::string::npos ? "" : unescaped(one.substr(equals + 1));
+    rest = end == std::string::npos ? "" : rest.substr(end + 1);
+  }
+  return out;
+}
+
+}  // namespace
+
+struct Store::Client {
+  explicit Client(tcp::socket s) : socket(std::move(s)) {}
+  tcp::socket socket;
+  beast::flat_buffer in;
+  http::request<http::string_body> request;
+  http::response<http::string_body> reply;
+};
+
+Store::Store(asio::io_context& io, std::function<double()> nowMs)
+    : io_(io), nowMs_(std::move(nowMs)), acceptor_(std::make_unique<tcp::acceptor>(listenAt(io))), beat_(io) {
+  port_ = acceptor_->local_endpoint().port();
+  wire();
+  accept();
+  beat();
+}
+
+void Store::wire() {
+  state_.onChange = [this](const std::string& key) { changed(key); };
+  state_.onSet = [this](const std::string& key, const std::string& value) {
+    std::vector<std::string> members;
+    const auto duties = key.find("/duties/");
+    for (const auto& [name, v] : state_.read(key.substr(0, duties) + "/members/", true))
+      members.push_back(name);
+    if (onSet) onSet(key, value, members);
+  };
+}
+
+void Store::beat() {
+  state_.expire(nowMs_());
+  beat_.expires_after(kBeat);
+  beat_.async_wait([this](const Error& error) {
+    if (!error) beat();
+  });
+}
+
+void Store::accept() {
+  acceptor_->async_accept([this](const Error& error, tcp::socket socket) {
+    if (error) return;
+    auto client = std::make_shared<Client>(std::move(socket));
+    clients_.insert(client);
+    http::async_read(client->socket, client->in, client->request,
+                     [this, client](const Error& e, std::size_t) {
+                       if (e) return void(clients_.erase(client));
+                       serve(client);
+                     });
+    accept();
+  });
+}
+
+void Store::serve(const std::shared_ptr<Client>& client) {
+  ++calls_;
+  const auto second = static_cast<std::size_t>(std::max(0.0, nowMs_() / 1000));
+  if (second < kMostSeconds) {
+    if (bySecond_.size() <= second) bySecond_.resize(second + 1);
+    ++bySecond_[second];
+  }
+  if (mode_ == Mode::silent) return;  // held, and nothing said
+  if (mode_ == Mode::errors) return answer(client, 500, "rpc error: no leader");
+  const Target target = targetOf(std::string(client->request.target()));
+  const std::string body = client->request.body();
+  const double now = nowMs_();
+  const auto yes = [&](std::optional<bool> done) {
+    if (!done) return answer(client, 500, "rpc error: invalid session");
+    answer(client, 200, *done ? "true" : "false");
+  };
+  const auto after = [&](const char* prefix) -> std::optional<std::string> {
+    if (target.path.rfind(prefix, 0) != 0) return std::nullopt;
+    return unescaped(target.path.substr(std::string(prefix).size()));
+  };
+  if (target.path == "/v1/session/create") {
+    const json j = json::parse(body, nullptr, false);
+    if (!j.is_object()) return answer(client, 400, "Request decode failed");
+    return answer(
+        client, 200,
+        json{{"ID", state_.createSession(now, j.value("Name", ""), milliseconds(j.value("TTL", "10s")),
+                                         milliseconds(j.value("LockDelay", "15s")))}}
+            .dump());
+  }
+  if (const auto id = after("/v1/session/renew/")) {
+    if (!state_.renew(now, *id)) return answer(client, 404, "Session id not found");
+    return answer(client, 200, json::array({{{"ID", *id}}}).dump());
+  }
+  if (const auto id = after("/v1/session/destroy/")) {
+    state_.destroy(now, *id);
+    return answer(client, 200, "true");
+  }
+  const auto key = after("/v1/kv/");
+  if (!key) return answer(client, 404, "");
+  const auto query = [&](const char* name) {
+    const auto found = target.query.find(name);
+    return found == target.query.end() ? std::optional<std::string>() : found->second;
+  };
+  if (client->request.method() == http::verb::put) {
+    if (const auto session = query("acquire")) return yes(state_.acquire(now, *key, *session, body));
+    if (const auto session = query("release")) return yes(state_.release(now, *key, *session));
+    if (const auto index = query("cas"))
+      return yes(state_.compareAndSet(now, *key, std::strtoull(index->c_str(), nullptr, 10), body));
+    return answer(client, 400, "");
+  }
+  const bool recurse = query("recurse").has_value();
+  const std::uint64_t index = std::strtoull(query("index").value_or("0").c_str(), nullptr, 10);
+  if (index == 0 || state_.changedAt(*key, recurse) != index) return answerRead(client, *key, recurse);
+  auto timer = std::make_shared<asio::steady_timer>(
+      io_, std::chrono::milliseconds(static_cast<long>(milliseconds(query("wait").value_or("5m")))));
+  waiting_.push_back({client, *key, recurse, index, timer});
+  timer->async_wait([this, client](const Error& error) {
+    if (error) return;
+    const auto found =
+        std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& w) { return w.client == client; });
+    if (found == waiting_.end()) return;
+    const Waiting w = *found;
+    waiting_.erase(found);
+    answerRead(client, w.key, w.recurse);
+  });
+}
+
+void Store::changed(const std::string& key) {
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    const bool mine = at->recurse ? key.rfind(at->key, 0) == 0 : key == at->key;
+    if (!mine) {
+      ++at;
+      continue;
+    }
+    const Waiting w = *at;
+    at = waiting_.erase(at);
+    w.timer->cancel();
+    asio::post(io_, [this, w] { answerRead(w.client, w.key, w.recurse); });  // after the whole change
+  }
+}
+
+void Store::answerRead(const std::shared_ptr<Client>& client, const std::string& key, bool recurse) {
+  json out = json::array();
+  for (const auto& [name, v] : state_.read(key, recurse)) {
+    json one{{"Key", name},
+             {"Value", burlwind::duty::toBase64(v.value)},
+             {"Flags", 0},
+             {"LockIndex", v.lockIndex},
+             {"CreateIndex", v.createIndex},
+             {"ModifyIndex", v.modifyIndex}};
+    if (!v.session.empty()) one["Session"] = v.session;
+    out.push_back(one);
+  }
+  answer(client, out.empty() ? 404 : 200, out.empty() ? "" : out.dump(), state_.changedAt(key, recurse));
+}
+
+void Store::answer(const std::shared_ptr<Client>& client, unsigned status, const std::string& body,
+                   std::uint64_t index) {
+  if (mode_ == Mode::silent) return;
+  Error ignored;
+  if (mode_ == Mode::losesAnswers) {
+    client->socket.close(ignored);
+    clients_.erase(client);
+    return;
+  }
+  client->reply.result(status);
+  client->reply.version(11);
+  client->reply.set(http::field::connection, "close");
+  if (index > 0) client->reply.set("X-Consul-Index", std::to_string(index));
+  client->reply.body() = body;
+  client->reply.prepare_payload();
+  http::async_write(client->socket, client->reply, [this, client](const Error&, std::size_t) {
+    Error wrong;
+    client->socket.shutdown(tcp::socket::shutdown_send, wrong);
+    clients_.erase(client);
+  });
+}
+
+void Store::stop() {
+  Error ignored;
+  acceptor_->close(ignored);
+  for (const Waiting& w : waiting_) w.timer->cancel();
+  waiting_.clear();
+  for (const auto& client : clients_) {
+    client->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    client->socket.close(ignored);
+  }
+  clients_.clear();
+}
+
+void Store::startAgain() {
+  if (acceptor_->is_open()) return;
+  acceptor_ = std::make_unique<tcp::acceptor>(listenAt(io_, port_));
+  accept();
+}
+
+void Store::wipe() {
+  stop();
+  state_ = StoreState();
+  wire();
+  startAgain();
+}
+
+void Store::save() { saved_ = state_; }
+
+void Store::restore() {
+  stop();
+  state_ = saved_;
+  wire();
+  startAgain();
+}
+
+void Store::invalidate(const std::string& name) {
+  for (const std::string& id : state_.sessionsOf(name)) state_.destroy(nowMs_(), id);
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/store_state.cpp
@@ -0,0 +1,131 @@
+#include "store_state.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace wingslip::lab {
+namespace {
+bool matches(const std::string& key, const std::string& asked, bool recurse) {
+  return recurse ? key.rfind(asked, 0) == 0 : key == asked;
+}
+}  // namespace
+
+void StoreState::touched(const std::string& key) {
+  changed_[key] = index_;
+  if (onChange) onChange(key);
+}
+
+void StoreState::end(double now, const std::string& session) {
+  const auto found = sessions_.find(session);
+  if (found == sessions_.end()) return;
+  const double shut = now + found->second.lockDelayMs;
+  sessions_.erase(found);
+  ++index_;
+  for (auto at = values_.begin(); at != values_.end();) {
+    if (at->second.session != session) {
+      ++at;
+      continue;
+    }
+    const std::string key = at->first;
+    shutUntil_[key] = shut;
+    at = values_.erase(at);
+    touched(key);
+  }
+}
+
+void StoreState::expire(double now) {
+  std::vector<std::string> over;
+  for (const auto& [id, s] : sessions_)
+    if (now >= s.renewedAt + s.ttlMs * expireAfter_) over.push_back(id);
+  for (const std::string& id : over) end(now, id);
+}
+
+double StoreState::nextExpiry() const {
+  double at = std::numeric_limits<double>::infinity();
+  for (const auto& [id, s] : sessions_) at = std::min(at, s.renewedAt + s.ttlMs * expireAfter_);
+  return at;
+}
+
+std::string StoreState::createSession(double now, const std::string& name, double ttlMs, double lockDelayMs) {
+  const std::string id = "session-" + std::to_string(index_) + "-" + std::to_string(++lastSession_);
+  sessions_[id] = {name, ttlMs, lockDelayMs, now};
+  ++index_;
+  return id;
+}
+
+bool StoreState::renew(double now, const std::string& session) {
+  expire(now);
+  const auto found = sessions_.find(session);
+  if (found == sessions_.end()) return false;
+  found->second.renewedAt = now;
+  return true;
+}
+
+void StoreState::destroy(double now, const std::string& session) { end(now, session); }
+
+std::vector<std::string> StoreState::sessionsOf(const std::string& name) const {
+  std::vector<std::string> out;
+  for (const auto& [id, s] : sessions_)
+    if (s.name == name) out.push_back(id);
+  return out;
+}
+
+std::optional<bool> StoreState::acquire(double now, const std::string& key, const std::string& session,
+                                        const std::string& value) {
+  expire(now);
+  if (!sessions_.contains(session)) return std::nullopt;
+  if (const auto shut = shutUntil_.find(key); shut != shutUntil_.end()) {
+    if (now < shut->second) return false;
+    shutUntil_.erase(shut);
+  }
+  Value& v = values_[key];
+  if (!v.session.empty() && v.session != session) return false;
+  ++index_;
+  if (v.createIndex == 0) v.createIndex = index_;
+  if (v.session != session) ++v.lockIndex;
+  v.session = session, v.value = value, v.modifyIndex = index_;
+  touched(key);
+  return true;
+}
+
+std::optional<bool> StoreState::release(double now, const std::string& key, const std::string& session) {
+  expire(now);
+  if (!sessions_.contains(session)) return std::nullopt;
+  const auto found = values_.find(key);
+  if (found == values_.end() || found->second.session != session) return false;
+  found->second.session.clear();
+  found->second.modifyIndex = ++index_;
+  touched(key);
+  return true;
+}
+
+bool StoreState::compareAndSet(double now, const std::string& key, std::uint64_t index,
+                               const std::string& value) {
+  expire(now);
+  const auto found = values_.find(key);
+  if ((found == values_.end() ? 0 : found->second.modifyIndex) != index) return false;
+  Value& v = values_[key];
+  v.value = value, v.modifyIndex = ++index_;
+  if (v.createIndex == 0) v.createIndex = index_;
+  touched(key);
+  if (onSet) onSet(key, value);
+  return true;
+}
+
+std::vector<std::pair<std::string, StoreState::Value>> StoreState::read(const std::string& key,
+                                                                        bool recurse) const {
+  std::vector<std::pair<std::string, Value>> out;
+  for (auto at = values_.lower_bound(key); at != values_.end() && matches(at->first, key, recurse); ++at)
+    out.emplace_back(*at);
+  return out;
+}
+
+std::uint64_t StoreState::changedAt(const std::string& key, bool recurse) const {
+  std::uint64_t at = 1;
+  for (auto one = changed_.lower_bound(key); one != changed_.end() && matches(one->first, key, recurse);
+       ++one)
+    at = std::max(at, one->second);
+  return at;
+}
+
+}  // namespace wingslip::lab
