--- a/src/duty/coordinator.cpp
+++ b/src/duty/coordinator.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kRoster = "roster";
 constexpr Time kLogEvery = 200;  // ms a line at most
 constexpr auto kLeaveWithin = std::chrono::milliseconds(100);
+constexpr Time kSeenWithin = 300;  // for the holder to see that this one drains before its registration goes
 constexpr std::size_t kMostAnswer = 6 * 1024;
 
 Duties::Self selfOf(const Coordination& where, const std::string& name) {
@@ -57,6 +58,7 @@
 
 void Coordinator::drain() {
   duties_.drain(now());
+  drainedAt_ = now();
   turn();
 }
 
@@ -70,7 +72,7 @@
 void Coordinator::turn() {
   duties_.tick(now());
   rosterDuty_.tick(now());
-  if (done_ && !ending_ && (duties_.settled() || now() >= leaveBy_)) {
+  if (done_ && !ending_ && (now() >= leaveBy_ || (duties_.settled() && now() >= drainedAt_ + kSeenWithin))) {
     ending_ = true;
     duties_.leave(now());
     end_.expires_after(kLeaveWithin);
@@ -79,7 +81,8 @@
     });
   }
   Time at = std::min(duties_.nextAt(), rosterDuty_.nextAt());
-  if (done_ && !ending_) at = std::min(at, leaveBy_);
+  if (done_ && !ending_)
+    at = std::min(at, duties_.settled() ? std::min(leaveBy_, drainedAt_ + kSeenWithin) : leaveBy_);
   if (!std::isfinite(at)) return void(timer_.cancel());
   const auto wait = static_cast<std::int64_t>(std::max(0.0, at - now()) * 1000) + 1;
   timer_.expires_after(std::chrono::microseconds(wait));
--- a/src/duty/coordinator.hpp
+++ b/src/duty/coordinator.hpp
@@ -45,7 +45,7 @@
   boost::asio::steady_timer timer_, end_;
   std::string lastError_;
   std::function<void()> done_;
-  Time leaveBy_ = 0;
+  Time leaveBy_ = 0, drainedAt_ = 0;
   bool ending_ = false;
   Time quietUntil_ = 0;  // of the log
   unsigned unsaid_ = 0;
--- a/src/duty/roster.cpp
+++ b/src/duty/roster.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <stdexcept>
 #include <string_view>
+#include <utility>
 
 namespace burlwind::duty {
 namespace {
@@ -97,7 +98,7 @@
 }
 
 void RosterDuty::begun(Time now, Token token, const std::string& data) {
-  holding_ = true, known_ = false, due_ = false;
+  holding_ = true, known_ = due_ = changed_ = false;
   token_ = token;
   kept_ = {};
   take(data, kept_);
@@ -125,16 +126,22 @@
     gone[name] = before == goneAt_.end() ? now : before->second;
   }
   goneAt_ = std::move(gone);
+  look(now);
 }
 
-void RosterDuty::tick(Time now) {
-  if (!holding_ || !known_ || !due_ || now < writeAt_) return;
-  due_ = false;
-  const bool changed = kept_.update(members_, [&](const std::string& name) {
+// At every change, so that a state is seen however short it was; written when it is due.
+void RosterDuty::look(Time now) {
+  changed_ |= kept_.update(members_, [&](const std::string& name) {
     const auto gone = goneAt_.find(name);
     return gone != goneAt_.end() && now < gone->second + grace_;
   });
-  if (changed) duties_.write(now, name_, kept_.text());
+}
+
+void RosterDuty::tick(Time now) {
+  if (!holding_ || !known_ || !due_ || now < writeAt_) return;
+  due_ = false;
+  look(now);
+  if (std::exchange(changed_, false)) duties_.write(now, name_, kept_.text());
   // Those spared are looked at again when their time is over.
   std::erase_if(goneAt_, [&](const auto& item) {
     const auto row = kept_.rows().find(item.first);
--- a/src/duty/roster.hpp
+++ b/src/duty/roster.hpp
@@ -99,6 +99,7 @@
 
  private:
   void take(const std::string& data, Roster& into);
+  void look(Time now);
 
   Duties& duties_;
   const std::string name_;
@@ -106,7 +107,7 @@
   Roster roster_, kept_;  // kept_: the holder's, ahead of what is recorded
   Token token_ = 0;
   std::uint64_t unreadable_ = 0;
-  bool holding_ = false, known_ = false;
+  bool holding_ = false, known_ = false, changed_ = false;
   std::vector<Member> members_;
   std::map<std::string, Time> goneAt_;  // names of kept_ that are in no registration
   Time writeAt_ = 0;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -131,6 +131,18 @@
   EXPECT_EQ(j.brokenCount(), 3);
 }
 
+TEST(Judge, TokensOnlyRiseAndHaveOneHolderEach) {
+  Judge j(3);
+  EXPECT_TRUE(j.recorded(1, "a", 0));
+  EXPECT_FALSE(j.recorded(1, "a", 1));
+  EXPECT_TRUE(j.recorded(3, "b", 2));
+  EXPECT_EQ(j.brokenCount(), 0);
+  EXPECT_FALSE(j.recorded(2, "a", 3));
+  EXPECT_EQ(j.brokenCount(), 1);
+  EXPECT_FALSE(j.recorded(3, "a", 4));
+  EXPECT_EQ(j.brokenCount(), 2);
+}
+
 // A second with twice the requests has bars twice as high; a fault is drawn at its time, with its label.
 TEST(Plot, DrawsCountsBySecondAndFaults) {
   std::vector<Request> requests(3);
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -112,6 +112,7 @@
     for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
     arrive();
     progress();
+    if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
     at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
     io_.run();
     return verdict();
@@ -145,9 +146,20 @@
       std::map<std::string, long> counts;
       for (const auto& [name, row] : roster["rows"].items()) ++counts[row[0].get<std::string>()];
       rosters_.emplace_back(nowMs(), counts);
+      rosterVersion_ = roster.value("version", std::uint64_t{0});
     };
   }
 
+  // Whether every gatekeeper tells its operators the roster as last recorded.
+  void askRosters() {
+    for (const Gatekeeper& gk : gatekeepers_)
+      if (gk.now.pid > 0)
+        askOps(io_, gk.now.ops, "roster", [this, g = gk.index](const std::string& answer) {
+          const std::string version = " version=" + std::to_string(rosterVersion_) + " ";
+          if (answer.rfind("200" + version, 0) == 0) noted_.push_back({"roster_agreed", g, nowMs()});
+        });
+  }
+
   void storeFault(const std::string& what) {
     if (what == "store_stop") store_->stop();
     if (what == "store_start") store_->startAgain();
@@ -524,7 +536,7 @@
           [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
           before);
     if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
-    if (e.fate.rfind("roster_", 0) == 0) {
+    if (e.fate.rfind("roster_", 0) == 0 && e.fate != "roster_agreed") {
       long n = 0;
       for (const auto& [at, counts] : rosters_) {
         const auto found = counts.find(e.fate.substr(7));
@@ -624,6 +636,7 @@
   };
   std::vector<Noted> noted_;
   json claims_ = json::array();
+  std::uint64_t rosterVersion_ = 0;
   int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
   std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
   double nextS_ = 0;
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -20,9 +20,10 @@
 const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "throttle", "heal"};
 const std::set<std::string> kLinks{"discovery", "store"};
 const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
-const std::set<std::string> kFates{
-    "served",   "refused",  "failed", "closed",      "unreachable",     "lost",        "wrong",
-    "attempts", "upgrades", "claims", "roster_here", "roster_draining", "roster_left", "roster_missing"};
+const std::set<std::string> kFates{"served",      "refused",        "failed",       "closed",
+                                   "unreachable", "lost",           "wrong",        "attempts",
+                                   "upgrades",    "claims",         "roster_here",  "roster_draining",
+                                   "roster_left", "roster_missing", "roster_agreed"};
 
 class Reader {
  public:
--- a/tools/lab/store_state.cpp
+++ b/tools/lab/store_state.cpp
@@ -1,6 +1,7 @@
 #include "store_state.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <limits>
 
 namespace wingslip::lab {
@@ -47,7 +48,10 @@
 }
 
 std::string StoreState::createSession(double now, const std::string& name, double ttlMs, double lockDelayMs) {
-  const std::string id = "session-" + std::to_string(index_) + "-" + std::to_string(++lastSession_);
+  // Never given again, also by a store that came back empty or old: the real one's are random.
+  static std::uint64_t given = 0;
+  char id[32];
+  std::snprintf(id, sizeof id, "session-%016llx", static_cast<unsigned long long>(++given));
   sessions_[id] = {name, ttlMs, lockDelayMs, now};
   ++index_;
   return id;
@@ -63,6 +67,12 @@
 
 void StoreState::destroy(double now, const std::string& session) { end(now, session); }
 
+double StoreState::heldUntil(const std::string& key) const {
+  const auto value = values_.find(key);
+  const auto session = value == values_.end() ? sessions_.end() : sessions_.find(value->second.session);
+  return session == sessions_.end() ? 0 : session->second.renewedAt + session->second.ttlMs * expireAfter_;
+}
+
 std::vector<std::string> StoreState::sessionsOf(const std::string& name) const {
   std::vector<std::string> out;
   for (const auto& [id, s] : sessions_)
--- a/tools/lab/store_state.hpp
+++ b/tools/lab/store_state.hpp
@@ -28,6 +28,8 @@
   std::string createSession(double now, const std::string& name, double ttlMs, double lockDelayMs);
   bool renew(double now, const std::string& session);
   void destroy(double now, const std::string& session);
+  // Until when the key stays with whoever holds it, unless it is given back; 0: nobody holds it.
+  double heldUntil(const std::string& key) const;
   std::vector<std::string> sessionsOf(const std::string& name) const;
 
   // Nothing: no such session, an error at the store.
@@ -59,7 +61,7 @@
   std::map<std::string, Session> sessions_;
   std::map<std::string, double> shutUntil_;  // lock-delay, by key
   std::map<std::string, std::uint64_t> changed_;
-  std::uint64_t index_ = 1, lastSession_ = 0;
+  std::uint64_t index_ = 1;
 };
 
 }  // namespace wingslip::lab
