--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -41,8 +41,8 @@
 // requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
 // workers in that time; `upgrades` whose old process has ended in order; `claims` of the duty (a new token
 // was recorded); or of the last roster recorded before beforeS how many names are `roster_here`,
-// `roster_draining`, `roster_left`, `roster_missing`; or `roster_agreed`, how many gatekeepers tell that roster at the
-// end to an operator.
+// `roster_draining`, `roster_left`, `roster_missing`; or `roster_agreed`, how many gatekeepers tell that
+// roster at the end to an operator.
 struct Expect {
   std::string fate;
   std::optional<int> gatekeeper, worker;
