Put bounded calls to others and the quiet log into parts of their own

Need: gatekeepers will call each other as they call the store: a connection each, bounded in number, bytes and time, at a bounded rate of log lines; the code stood in the store's client and the coordinator.

Change: src/node/http_calls.*, src/node/quiet_log.hpp; the store's client is left with what is the store's.

--- a/src/duty/coordinator.cpp
+++ b/src/duty/coordinator.cpp
@@ -13,7 +13,6 @@
 namespace asio = boost::asio;
 
 constexpr const char* kRoster = "roster";
-constexpr Time kLogEvery = 200;  // ms a line at most
 constexpr auto kLeaveWithin = std::chrono::milliseconds(100);
 constexpr Time kSeenWithin = 300;  // for the holder to see that this one drains before its registration goes
 constexpr std::size_t kMostAnswer = 6 * 1024;
@@ -91,14 +90,6 @@
   });
 }
 
-void Coordinator::told(const std::string& line) {
-  if (now() < quietUntil_) return void(++unsaid_);
-  std::fprintf(stderr, "burlwind: duty: %s%s\n", line.c_str(),
-               unsaid_ > 0 ? (" (" + std::to_string(unsaid_) + " lines left out)").c_str() : "");
-  unsaid_ = 0;
-  quietUntil_ = now() + kLogEvery;
-}
-
 std::string Coordinator::telemetry() const {
   std::string out;
   const auto line = [&](const char* name, std::uint64_t value, const char* kind) {
--- a/src/duty/coordinator.hpp
+++ b/src/duty/coordinator.hpp
@@ -13,6 +13,7 @@
 #include "duty/store_client.hpp"
 #include "node/back_pressure.hpp"
 #include "node/config.hpp"
+#include "node/quiet_log.hpp"
 
 namespace burlwind::duty {
 
@@ -35,7 +36,7 @@
  private:
   void ask(const Ask& ask) override { client_.ask(ask); }
   void drop(std::uint64_t ask) override { client_.drop(ask); }
-  void told(const std::string& line) override;
+  void told(const std::string& line) override { log_.say(line); }
   Time now() const;
   void turn();  // after every event: what is due, and when the next is
 
@@ -47,8 +48,7 @@
   std::function<void()> done_;
   Time leaveBy_ = 0, drainedAt_ = 0;
   bool ending_ = false;
-  Time quietUntil_ = 0;  // of the log
-  unsigned unsaid_ = 0;
+  QuietLog log_{"duty"};
 };
 
 }  // namespace burlwind::duty
--- a/src/duty/store_client.cpp
+++ b/src/duty/store_client.cpp
@@ -1,8 +1,5 @@
 #include "duty/store_client.hpp"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
@@ -20,9 +17,6 @@
 using asio::ip::tcp;
 using nlohmann::json;
 
-constexpr std::size_t kCall = 8 * 1024;  // what a call holds besides its answer's body
-constexpr std::size_t kParsed = 8;       // bytes that a byte of an answer takes while it is read
-
 std::string escaped(const std::string& key) {
   std::string out;
   for (const char c : key) {
@@ -129,129 +123,42 @@
   return out;
 }
 
-// One call: connect, write, read the whole answer, close.
-class StoreClient::Exchange : public std::enable_shared_from_this<Exchange> {
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (!over_) handler(error, n);
-    };
-  }
-
- public:
-  Exchange(StoreClient& client, const Ask& ask)
-      : client_(client),
-        id_(ask.id),
-        call_(ask.call),
-        room_(client.pressure_.ledger().open(Account::discovery)),
-        socket_(client.io_),
-        timer_(client.io_) {
-    const HttpCall call = httpCallOf(ask);
-    http::request<http::string_body> request(call.put ? http::verb::put : http::verb::get, call.target, 11);
-    request.set(http::field::host, "store");
-    request.set(http::field::connection, "close");
-    request.body() = call.body;
-    if (call.put) request.prepare_payload();
-    append(out_, request);
-    parser_.body_limit(kMostBody);
-    parser_.header_limit(kMostHeader);
-  }
-
-  void start(Time within) {
-    if (!room_.resize(kCall + out_.size())) return later("no memory for a call");
-    timer_.expires_after(span(within));
-    timer_.async_wait(guard([this](const Error& error, std::size_t) {
-      if (!error) end({}, "no answer in time");
-    }));
-    socket_.async_connect(client_.store_, guard([this](const Error& error, std::size_t) {
-                            if (error) return end({}, "cannot connect");
-                            asio::async_write(socket_, asio::buffer(out_),
-                                              guard([this](const Error& wrong, std::size_t) {
-                                                if (wrong) return end({}, "broken");
-                                                read();
-                                              }));
-                          }));
-  }
-
-  // Answered as failed by a handler of its own.
-  void later(const char* why) {
-    asio::post(client_.io_, [self = shared_from_this(), why] {
-      if (!self->over_) self->end({}, why);
-    });
-  }
-
-  void abandon() {
-    over_ = true;
-    timer_.cancel();
-    Error ignored;
-    socket_.close(ignored);
-    room_.release();
-  }
-
- private:
-  void read() {
-    http::async_read_some(socket_, in_, parser_, guard([this](const Error& error, std::size_t) {
-                            if (error)
-                              return end({},
-                                         error == http::error::body_limit ? "too long an answer" : "broken");
-                            if (parser_.is_done()) return take();
-                            if (!room_.resize(kCall + parser_.get().body().size() * kParsed))
-                              return end({}, "no memory for an answer");
-                            read();
-                          }));
-  }
-
-  void take() {
-    const auto& answer = parser_.get();
-    try {
-      end(readReply(call_, answer.result_int(), view(answer["X-Consul-Index"]), answer.body()), "");
-    } catch (const std::runtime_error& wrong) {
-      end({}, wrong.what());
-    }
-  }
-
-  void end(const Reply& reply, const std::string& error) {
-    const auto self = shared_from_this();
-    abandon();
-    client_.calls_.erase(id_);
-    client_.replied_(id_, reply, error);
-  }
-
-  StoreClient& client_;
-  const std::uint64_t id_;
-  const Call call_;
-  Ledger::Charge room_;
-  tcp::socket socket_;
-  asio::steady_timer timer_;
-  std::string out_;
-  beast::flat_buffer in_;
-  http::response_parser<http::string_body> parser_;
-  bool over_ = false;
-};
-
 StoreClient::StoreClient(asio::io_context& io, const tcp::endpoint& store, BackPressure& pressure,
                          Replied replied)
-    : io_(io), store_(store), pressure_(pressure), replied_(std::move(replied)) {}
-
-StoreClient::~StoreClient() {
-  for (const auto& [id, call] : calls_) call->abandon();
-}
+    : store_(store),
+      replied_(std::move(replied)),
+      calls_(io, {kMostCalls, kMostBody}, pressure,
+             [this](std::uint64_t id, const HttpCalls::Response* response, const std::string& error) {
+               ended(id, response, error);
+             }) {}
 
 void StoreClient::ask(const Ask& ask) {
-  const auto call = std::make_shared<Exchange>(*this, ask);
-  const bool full = calls_.size() >= kMostCalls;
-  calls_[ask.id] = call;
-  if (full)
-    call->later("too many calls at once");
-  else
-    call->start(ask.within);
+  const HttpCall call = httpCallOf(ask);
+  HttpCalls::Request request(call.put ? http::verb::put : http::verb::get, call.target, 11);
+  request.set(http::field::host, "store");
+  request.body() = call.body;
+  if (call.put) request.prepare_payload();
+  kinds_[ask.id] = ask.call;
+  calls_.call(ask.id, store_, std::move(request), span(ask.within));
 }
 
 void StoreClient::drop(std::uint64_t ask) {
-  const auto found = calls_.find(ask);
-  if (found == calls_.end()) return;
-  found->second->abandon();
-  calls_.erase(found);
+  kinds_.erase(ask);
+  calls_.drop(ask);
+}
+
+void StoreClient::ended(std::uint64_t id, const HttpCalls::Response* response, const std::string& error) {
+  const Call kind = kinds_.at(id);
+  kinds_.erase(id);
+  if (!response) return replied_(id, {}, error);
+  Reply reply;
+  std::string wrong;
+  try {
+    reply = readReply(kind, response->result_int(), view((*response)["X-Consul-Index"]), response->body());
+  } catch (const std::runtime_error& caught) {
+    wrong = caught.what();
+  }
+  replied_(id, reply, wrong);
 }
 
 }  // namespace burlwind::duty
--- a/src/duty/store_client.hpp
+++ b/src/duty/store_client.hpp
@@ -1,17 +1,16 @@
-// Calls to a coordination store in the manner of Consul's HTTP API (session, kv), on the program's loop: a
-// connection each, bounded in number, in bytes and in time.
+// Calls to a coordination store in the manner of Consul's HTTP API (session, kv), on the program's loop.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "duty/duties.hpp"
 #include "node/back_pressure.hpp"
+#include "node/http_calls.hpp"
 
 namespace burlwind::duty {
 
@@ -23,22 +22,18 @@
   using Replied = std::function<void(std::uint64_t ask, const Reply& reply, const std::string& error)>;
   StoreClient(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& store,
               BackPressure& pressure, Replied replied);
-  ~StoreClient();
-  StoreClient(const StoreClient&) = delete;
-  StoreClient& operator=(const StoreClient&) = delete;
 
   // Answered once, from a handler of its own, never from within.
   void ask(const Ask& ask);
   void drop(std::uint64_t ask);  // ends the call; it is not answered
 
  private:
-  class Exchange;
-  boost::asio::io_context& io_;
+  void ended(std::uint64_t id, const HttpCalls::Response* response, const std::string& error);
+
   const boost::asio::ip::tcp::endpoint store_;
-  BackPressure& pressure_;
   const Replied replied_;
-  std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> calls_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unordered_map<std::uint64_t, Call> kinds_;
+  HttpCalls calls_;
 };
 
 // The method and target of a call, and its body; pure.
