Share state among gatekeepers: SWIM membership, last writer wins, repair, exclusions by hand

A lab killed before its child had asked for the parent's death signal left that child behind (seen under load): the child now looks for its parent.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -94,7 +94,7 @@
     for (const auto& [key, item] : value.items()) {
       const std::string path = at + "/" + key;
       if (item.is_null()) continue;
-      if (path == "/coordination") continue;  // may be switched on and off
+      if (path == "/coordination" || path == "/replica") continue;  // may be switched on and off
       out.insert(path);
       if (path != "/known") out.merge(keysOf(item, path));
     }
@@ -136,11 +136,17 @@
   }
 }
 
-double spanOf(const json& table, const char* key, double fallback, double least, double most) {
+void onlyKeys(const json& table, const char* of, const std::set<std::string>& keys) {
+  for (const auto& [key, value] : table.items())
+    if (!keys.contains(key)) bad(std::string(of) + " has an unknown key " + key.substr(0, 40));
+}
+
+double spanOf(const json& table, const char* of, const char* key, double fallback, double least,
+              double most) {
   const auto found = table.find(key);
   if (found == table.end()) return fallback;
   if (!found->is_number() || !(found->get<double>() >= least) || !(found->get<double>() <= most))
-    bad("coordination." + std::string(key) + " is not a number within " + std::to_string(std::lround(least)) +
+    bad(std::string(of) + "." + key + " is not a number within " + std::to_string(std::lround(least)) +
         " to " + std::to_string(std::lround(most)));
   return found->get<double>();
 }
@@ -149,9 +155,7 @@
   const auto found = file.find("coordination");
   if (found == file.end() || found->is_null()) return std::nullopt;
   if (!found->is_object()) bad("coordination is not an object");
-  for (const auto& [key, value] : found->items())
-    if (key != "store" && key != "prefix" && key != "ttl_ms" && key != "lock_delay_ms")
-      bad("coordination has an unknown key " + key.substr(0, 40));
+  onlyKeys(*found, "coordination", {"store", "prefix", "ttl_ms", "lock_delay_ms"});
   Coordination out;
   if (!found->contains("store") || !(*found)["store"].is_string()) bad("coordination.store is missing");
   out.store = parseEndpoint((*found)["store"].get<std::string>());
@@ -165,8 +169,49 @@
   if (!plainName || out.prefix.empty() || out.prefix.size() > kMostPrefix || out.prefix.front() == '/' ||
       out.prefix.back() == '/' || out.prefix.find("//") != std::string::npos)
     bad("coordination.prefix is not a path of letters, digits, '-', '_' and '.', within 128 characters");
-  out.ttlMs = spanOf(*found, "ttl_ms", out.ttlMs, 1000, 86400000);
-  out.lockDelayMs = spanOf(*found, "lock_delay_ms", out.lockDelayMs, 0, 60000);
+  out.ttlMs = spanOf(*found, "coordination", "ttl_ms", out.ttlMs, 1000, 86400000);
+  out.lockDelayMs = spanOf(*found, "coordination", "lock_delay_ms", out.lockDelayMs, 0, 60000);
+  return out;
+}
+
+std::optional<Replication> readReplication(const json& file, const std::string& self) {
+  const auto found = file.find("replica");
+  if (found == file.end() || found->is_null()) return std::nullopt;
+  if (!found->is_object()) bad("replica is not an object");
+  const json& j = *found;
+  onlyKeys(j, "replica",
+           {"listen", "advertise", "fleet", "peers", "probe_every_ms", "gossip_every_ms", "repair_every_ms",
+            "fanout"});
+  const auto textIn = [&](const char* key, const std::string& fallback) {
+    if (!j.contains(key)) return fallback;
+    if (!j[key].is_string() || j[key].get<std::string>().empty() ||
+        j[key].get<std::string>().size() > kMostPrefix)
+      bad("replica." + std::string(key) + " is no name within 128 characters");
+    return j[key].get<std::string>();
+  };
+  Replication out;
+  const std::string listen = textIn("listen", "");
+  if (listen.empty()) bad("replica.listen is missing");
+  out.listen = parseEndpoint(listen);
+  out.advertise = textIn("advertise", listen);
+  const auto reachable = [](const std::string& at) {
+    if (parseEndpoint(at).port() == 0) bad("replica: no port in " + at);
+  };
+  reachable(out.advertise);
+  out.fleet = textIn("fleet", out.fleet);
+  if (!j.contains("peers") || !j["peers"].is_object())
+    bad("replica.peers is no object of names and addresses");
+  for (const auto& [name, at] : j["peers"].items()) {
+    if (name == self) bad("replica.peers names this gatekeeper itself");
+    if (name.empty() || name.size() > kMostPrefix || !at.is_string())
+      bad("replica.peers is no object of names and addresses");
+    reachable(at.get<std::string>());
+    out.peers[name] = at.get<std::string>();
+  }
+  out.probeEveryMs = spanOf(j, "replica", "probe_every_ms", out.probeEveryMs, 100, 60000);
+  out.gossipEveryMs = spanOf(j, "replica", "gossip_every_ms", out.gossipEveryMs, 20, 60000);
+  out.repairEveryMs = spanOf(j, "replica", "repair_every_ms", out.repairEveryMs, 100, 3600000);
+  out.fanout = static_cast<unsigned>(spanOf(j, "replica", "fanout", out.fanout, 1, 16));
   return out;
 }
 
@@ -183,6 +228,7 @@
   if (!file.contains("settings") || !file["settings"].is_object()) bad("settings is missing");
   checkSettings(file["settings"]);
   out.coordination = readCoordination(file);
+  out.replication = readReplication(file, out.name);
   const auto keys = keysOf(file);
   out.keys.assign(keys.begin(), keys.end());
   std::string lines;
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -22,6 +23,17 @@
   bool operator==(const Coordination&) const = default;
 };
 
+// The state that gatekeepers share among themselves (`docs/design.md`).
+struct Replication {
+  boost::asio::ip::tcp::endpoint listen;
+  std::string advertise;                     // host:port where others reach `listen`
+  std::string fleet = "wingslip";            // gatekeepers of another fleet are not heard
+  std::map<std::string, std::string> peers;  // some of the others, by name: where the fleet is found
+  double probeEveryMs = 1000, gossipEveryMs = 200, repairEveryMs = 10000;
+  unsigned fanout = 3;
+  bool operator==(const Replication&) const = default;
+};
+
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
@@ -38,8 +50,9 @@
   irisring::Settings settings;
   irisring::HostSettings host;
   std::optional<Coordination> coordination;  // nothing: no duties, and nothing of them runs
-  std::vector<std::string>
-      keys;  // paths of all keys but those within `known` and `coordination`; a changed file has them all
+  std::optional<Replication> replication;    // nothing: it shares no state
+  // Paths of all keys but `coordination`, `replica` and those within `known`; a changed file has them all.
+  std::vector<std::string> keys;
 };
 
 // All throw std::runtime_error with one plain line on what is missing or malformed.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -21,8 +21,10 @@
 
 constexpr Time kWayBack =
     10;  // ms kept for the way back; measured within the program: 0.4 at the 99th percentile
-constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
-constexpr unsigned kOpsSockets = 18;     // and for operators: their listener and callers
+constexpr unsigned kSparedSockets = 24;   // descriptors for the listener, discovery, timers, standard streams
+constexpr unsigned kOpsSockets = 18;      // and for operators: their listener and callers
+constexpr unsigned kStoreSockets = 8;     // and for the coordination store
+constexpr unsigned kReplicaSockets = 50;  // and for the other gatekeepers
 // Shares of all descriptors in either process of an upgrade: clients hold at most a third of them, and the
 // two together stay under the limit.
 constexpr double kClientShare = 0.27, kWorkerShare = 0.13;
@@ -42,6 +44,7 @@
 constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
 constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
 constexpr Time kRetireWithin = 1000;  // for what is given back to a store that is used no more
+constexpr const char* kExcluded = "excluded";  // the replicated table of workers out by hand
 constexpr std::size_t kMostNamed = 8192, kMostClasses = 512;
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -52,7 +55,9 @@
 std::size_t shareOfSockets(const Config& config, double inUpgrade) {
   if (config.acceptFd >= 0)
     return std::max<std::size_t>(8, static_cast<std::size_t>(config.sockets * inUpgrade));
-  const unsigned spared = kSparedSockets + (config.ops ? kOpsSockets : 0);
+  const unsigned spared = kSparedSockets + (config.ops ? kOpsSockets : 0) +
+                          (config.coordination ? kStoreSockets : 0) +
+                          (config.replication ? kReplicaSockets : 0);
   return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, spared)) / 2);
 }
 
@@ -148,9 +153,26 @@
   }
   if (!config_.stateDir.empty()) followExclusions();
   coordinate();
+  share();
   reportLater();
 }
 
+void Gatekeeper::share() {
+  if (!config_.replication) return;
+  replica_ = std::make_unique<replica::ReplicaNode>(io_, *config_.replication, config_.name, config_.stateDir,
+                                                    config_.seed, pressure_,
+                                                    [this](const replica::Row& row) { replicated(row); });
+  replica_->start();
+}
+
+// What another gatekeeper, or this one before its restart, was told.
+void Gatekeeper::replicated(const replica::Row& row) {
+  if (row.table != kExcluded || row.key.empty()) return;
+  const bool excluded = exclusions_.ids().contains(row.key);
+  if (row.gone && excluded) includeHere(row.key);
+  if (!row.gone && !excluded) excludeHere(row.key);
+}
+
 void Gatekeeper::coordinate() {
   if (!config_.coordination) return;
   coordinator_ = std::make_unique<duty::Coordinator>(io_, *config_.coordination, config_.name,
@@ -174,7 +196,16 @@
   figures.attempts = pool_.attemptsWritten();
   figures.shortHere = pool_.shortHere();
   return telemetryText(figures, {held_.size(), census.listed, census.avoided},
-                       pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : ""));
+                       pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : "") +
+                           (replica_ ? replica_->telemetry() : ""));
+}
+
+std::string Gatekeeper::sharers() const {
+  return replica_ ? replica_->members() : "400 no replica is configured\n";
+}
+
+std::string Gatekeeper::replica() const {
+  return replica_ ? replica_->state() : "400 no replica is configured\n";
 }
 
 std::string Gatekeeper::duties() const {
@@ -187,6 +218,19 @@
 
 bool Gatekeeper::exclude(const std::string& id) {
   if (!named_.contains(id) && !exclusions_.ids().contains(id)) return false;
+  if (!excludeHere(id)) return false;
+  if (replica_) replica_->set(kExcluded, id, "1");
+  return true;
+}
+
+bool Gatekeeper::include(const std::string& id) {
+  if (!named_.contains(id) && !exclusions_.ids().contains(id)) return false;
+  includeHere(id);
+  if (replica_) replica_->remove(kExcluded, id);
+  return true;
+}
+
+bool Gatekeeper::excludeHere(const std::string& id) {
   const auto before = exclusions_.ids();
   if (!exclusions_.add(id)) return false;
   applyExclusions(before);
@@ -194,13 +238,11 @@
   return true;
 }
 
-bool Gatekeeper::include(const std::string& id) {
+void Gatekeeper::includeHere(const std::string& id) {
   const auto before = exclusions_.ids();
-  if (!named_.contains(id) && !before.contains(id)) return false;
   exclusions_.remove(id);
   applyExclusions(before);
   std::fprintf(stderr, "burlwind: included by hand: %s\n", id.c_str());
-  return true;
 }
 
 void Gatekeeper::applyExclusions(const std::set<std::string>& before) {
@@ -328,6 +370,12 @@
     if (retired_) retired_->leave(kRetireWithin, [] {});
     coordinate();
   }
+  if (config.replication != config_.replication) {
+    config_.replication = config.replication;
+    if (replica_) replica_->drain();
+    retiredReplica_ = std::move(replica_);  // tells the others that it leaves
+    share();
+  }
   ++metrics_.reconfigOk;
   discovery_->moveTo(config.discovery);
   std::fprintf(stderr, "burlwind: configuration read again\n");
@@ -337,6 +385,7 @@
 // has are kept for a while, so that what their clients are sending is heard.
 void Gatekeeper::drain(std::function<void()> done) {
   draining_ = true;
+  if (replica_) replica_->drain();
   if (coordinator_) {
     coordinator_->drain();
     done = [this, done = std::move(done)] { coordinator_->leave(0, done); };
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -19,6 +19,7 @@
 #include "node/metrics.hpp"
 #include "node/ops_server.hpp"
 #include "node/worker_pool.hpp"
+#include "replica/replica_node.hpp"
 
 namespace burlwind {
 
@@ -89,6 +90,8 @@
   bool include(const std::string& id) override;
   std::string duties() const override;
   std::string roster() const override;
+  std::string sharers() const override;
+  std::string replica() const override;
 
   // Actions
   void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
@@ -111,6 +114,10 @@
   void acceptOnceReady();
   void followExclusions();
   void coordinate();
+  void share();
+  void replicated(const replica::Row& row);
+  bool excludeHere(const std::string& id);
+  void includeHere(const std::string& id);
   void applyExclusions(const std::set<std::string>& before);
   void noteNamed(const std::string& id);
   void leaveLater();
@@ -142,6 +149,7 @@
   Exclusions exclusions_;
   std::unordered_set<std::string> named_;  // ids that lists have named, of which operators may speak
   std::optional<OpsServer> ops_;
+  std::unique_ptr<replica::ReplicaNode> replica_, retiredReplica_;
   std::unique_ptr<duty::Coordinator> coordinator_, retired_;  // retired_: gives back what it held
   std::chrono::steady_clock::time_point startedAt_;
   boost::asio::steady_timer drain_, report_, follow_, accept_, leave_;
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -135,6 +135,8 @@
   if (line == "telemetry") return operated_.telemetry();
   if (line == "duties") return operated_.duties();
   if (line == "roster") return operated_.roster();
+  if (line == "members") return operated_.sharers();
+  if (line == "replica") return operated_.replica();
   const auto space = line.find(' ');
   const std::string verb = line.substr(0, space);
   const std::string id = space == std::string::npos ? "" : line.substr(space + 1);
--- a/src/node/ops_server.hpp
+++ b/src/node/ops_server.hpp
@@ -26,6 +26,9 @@
   // Of duties that one process of the fleet holds; `400 ...` where no store is configured.
   virtual std::string duties() const = 0;
   virtual std::string roster() const = 0;
+  // Of the state that gatekeepers share; `400 ...` where none is configured.
+  virtual std::string sharers() const = 0;
+  virtual std::string replica() const = 0;
 };
 
 class OpsServer {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -44,7 +44,7 @@
   const auto step = [&](const std::string& rest) {
     return turnedDown(fleet + "[[step]]\nat_s = 1\n" + rest);
   };
-  EXPECT_EQ(step("do = \"cut\"\nlink = \"moon\"\n"), "7:8: link is one of discovery, store");
+  EXPECT_EQ(step("do = \"cut\"\nlink = \"moon\"\n"), "7:8: link is one of discovery, peers, store");
   EXPECT_EQ(step("do = \"hup\"\ngatekeeper = 0\npatch = \"[1\"\n"), "8:9: patch is no JSON object");
   EXPECT_EQ(step("do = \"upgrade\"\ngatekeeper = 0\n"), "6:6: upgrade needs fleet.held_sockets = true");
   EXPECT_EQ(step("do = \"store_wipe\"\n"), "6:6: store_wipe needs a [store]");
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -12,13 +12,14 @@
 [ -e /usr/include/nlohmann/json.hpp ] || need+=(nlohmann-json3-dev)
 [ -e /usr/include/CLI/CLI.hpp ] || need+=(libcli11-dev)
 [ -e /usr/include/toml++/toml.h ] || need+=(libtomlplusplus-dev)
+[ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
 [ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure,duty}/*.cpp src/{node,pressure,duty}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure,duty,replica}/*.cpp src/{node,pressure,duty,replica}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
   tools/lab/*.cpp tools/lab/*.hpp
 
 for kind in plain sanitize; do
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -30,7 +30,9 @@
 
 constexpr auto kHealthEvery = std::chrono::milliseconds(250);
 constexpr int kMissesOut = 3;  // the front takes a gatekeeper out after this many silent health checks
-constexpr double kTailS = 2;   // after the load, for the last answers
+constexpr int kRoutedPeers =
+    30;                       // in larger fleets gatekeepers find most others by themselves, past the proxies
+constexpr double kTailS = 2;  // after the load, for the last answers
 
 json settingsFor(const Scenario& s, int me) {
   return json{{"me", me},
@@ -91,6 +93,11 @@
     for (int w = 0; w < s_.workers; ++w)
       workers_.push_back(std::make_unique<Worker>(
           io_, w, s_, judge_, links_, [this] { return nowMs(); }, o_.seed * 1000 + w));
+    if (s_.replica)
+      for (int from = 0; from < s_.gatekeepers; ++from)
+        for (int to = 0; to < s_.gatekeepers; ++to)
+          peerLinks_.push_back(from == to ? nullptr
+                                          : std::make_unique<Proxy>(io_, from, ports_.peers(to), links_));
     for (int g = 0; g < s_.gatekeepers; ++g) {
       std::vector<Agent::Entry> list;
       for (int w = 0; w < s_.workers; ++w) {
@@ -113,6 +120,7 @@
     arrive();
     progress();
     if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
+    if (s_.replica) at(s_.lengthS + 0.5, [this] { askCopies(); });
     at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
     io_.run();
     return verdict();
@@ -160,6 +168,15 @@
         });
   }
 
+  // The copy of the shared state that each gatekeeper tells its operators of.
+  void askCopies() {
+    for (const Gatekeeper& gk : gatekeepers_)
+      if (gk.now.pid > 0)
+        askOps(io_, gk.now.ops, "replica", [this](const std::string& answer) {
+          if (answer.rfind("200 copy=", 0) == 0) ++copies_[answer.substr(9, 16)];
+        });
+  }
+
   void storeFault(const std::string& what) {
     if (what == "store_stop") store_->stop();
     if (what == "store_start") store_->startAgain();
@@ -193,6 +210,21 @@
               {"seed", seed},
               {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
               {"settings", settingsFor(s_, g)}};
+    if (s_.replica) {
+      json peers = json::object();
+      for (int i = 1; i < s_.gatekeepers; ++i) {
+        const int other = (g + i) % s_.gatekeepers;
+        if (i <= 2 || s_.gatekeepers <= kRoutedPeers)
+          peers["g" + std::to_string(other)] =
+              "127.0.0.1:" + std::to_string(peerLinks_[g * s_.gatekeepers + other]->port());
+      }
+      file["replica"] = {{"listen", "127.0.0.1:" + std::to_string(ports_.peers(g))},
+                         {"fleet", "lab"},
+                         {"peers", peers},
+                         {"probe_every_ms", s_.probeEveryMs},
+                         {"gossip_every_ms", s_.gossipEveryMs},
+                         {"repair_every_ms", s_.repairEveryMs}};
+    }
     if (store_)
       file["coordination"] = {{"store", "127.0.0.1:" + std::to_string(storeLinks_[g]->port())},
                               {"prefix", "lab"},
@@ -354,6 +386,16 @@
     marks_.push_back({step.atS, labelOf(step)});
     if (step.what.rfind("store_", 0) == 0) return storeFault(step.what);
     const auto mode = kModes.find(step.what);
+    if (mode != kModes.end() && step.link == "peers") {
+      for (int from = 0; from < s_.gatekeepers; ++from)
+        for (int to = 0; to < s_.gatekeepers; ++to) {
+          const bool its = step.gatekeeper && (*step.gatekeeper == from || *step.gatekeeper == to);
+          const bool across = step.below > 0 && (from < step.below) != (to < step.below);
+          if (from != to && (its || across))
+            peerLinks_[from * s_.gatekeepers + to]->set(mode->second, step.delayMs, step.bytesPerS);
+        }
+      return;
+    }
     if (mode != kModes.end() && !step.link.empty()) {
       for (int g = 0; g < s_.gatekeepers; ++g) {
         if (step.gatekeeper && *step.gatekeeper != g) continue;
@@ -367,6 +409,15 @@
       }
       return;
     }
+    if (step.what == "exclude" || step.what == "include") {
+      askOps(io_, gatekeepers_[*step.gatekeeper].now.ops, step.what + " w" + std::to_string(*step.worker),
+             [this, step](const std::string& answer) {
+               if (answer.rfind("200", 0) != 0)
+                 crashes_.push_back("line " + std::to_string(step.line) + ": " + step.what +
+                                    " was answered " + (answer.empty() ? "nothing" : answer.substr(0, 60)));
+             });
+      return;
+    }
     if (step.gatekeeper && !step.worker && !step.zone) {
       Gatekeeper& gk = gatekeepers_[*step.gatekeeper];
       const int g = gk.index;
@@ -536,6 +587,11 @@
           [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
           before);
     if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
+    if (e.fate == "copies_equal") {
+      long most = 0;
+      for (const auto& [copy, n] : copies_) most = std::max(most, n);
+      return most;
+    }
     if (e.fate.rfind("roster_", 0) == 0 && e.fate != "roster_agreed") {
       long n = 0;
       for (const auto& [at, counts] : rosters_) {
@@ -624,6 +680,8 @@
   std::vector<std::unique_ptr<Proxy>> agentLinks_;  // gatekeeper to its agent
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Proxy>> storeLinks_;
+  std::vector<std::unique_ptr<Proxy>> peerLinks_;  // [from * gatekeepers + to]
+  std::map<std::string, long> copies_;  // of the shared state at the end -> gatekeepers that hold it
   std::vector<Gatekeeper> gatekeepers_;
   std::set<int> ended_;
   std::vector<std::string> crashes_;
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -25,7 +25,7 @@
 constexpr unsigned kLowestPort = 10000;
 constexpr unsigned kMost = 300;   // gatekeepers
 constexpr unsigned kOpsEach = 3;  // processes of one gatekeeper that can be there at once, and one
-constexpr unsigned kBlock = 1 + kMost * (1 + kOpsEach);
+constexpr unsigned kBlock = 1 + kMost * (2 + kOpsEach);
 constexpr int kInherited = 7;  // the descriptor that BALANCER_ACCEPT_FD names
 
 }  // namespace
@@ -55,6 +55,11 @@
   return static_cast<unsigned short>(marker_.local_endpoint().port() + 1 + gatekeeper);
 }
 
+unsigned short Ports::peers(int gatekeeper) const {
+  return static_cast<unsigned short>(marker_.local_endpoint().port() + 1 + kMost * (1 + kOpsEach) +
+                                     static_cast<unsigned>(gatekeeper));
+}
+
 unsigned short Ports::ops(int gatekeeper, int start) const {
   const unsigned offset = 1 + kMost + static_cast<unsigned>(gatekeeper) * kOpsEach;
   return static_cast<unsigned short>(marker_.local_endpoint().port() + offset +
@@ -65,10 +70,12 @@
   Process out;
   out.ops = ports.ops(gk.index, gk.starts++);
   const std::string ops = "127.0.0.1:" + std::to_string(out.ops);
+  const pid_t lab = ::getpid();
   const pid_t pid = ::fork();
   if (pid < 0) throw std::runtime_error("cannot start a gatekeeper: fork failed");
   if (pid == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind when the lab dies
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);    // nothing is left behind when the lab dies
+    if (::getppid() != lab) ::_exit(127);  // it died before that
     std::FILE* log = std::fopen(gk.log.c_str(), "a");
     if (log) ::dup2(::fileno(log), 2), ::dup2(::fileno(log), 1);
     unsigned firstClosed = 3;
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -22,6 +22,7 @@
  public:
   explicit Ports(boost::asio::io_context& io);  // throws std::runtime_error where no block is free
   unsigned short listen(int gatekeeper) const;
+  unsigned short peers(int gatekeeper) const;           // where other gatekeepers reach it
   unsigned short ops(int gatekeeper, int start) const;  // where its `start`-th process hears operators
 
  private:
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -12,18 +12,19 @@
 namespace wingslip::lab {
 namespace {
 
-const std::set<std::string> kGatekeeperFaults{"kill",    "stop", "cont",       "term",     "restart",
-                                              "upgrade", "hup",  "agent_down", "agent_up", "invalidate"};
+const std::set<std::string> kGatekeeperFaults{"kill",     "stop",       "cont",    "term",
+                                              "restart",  "upgrade",    "hup",     "agent_down",
+                                              "agent_up", "invalidate", "exclude", "include"};
 const std::set<std::string> kStoreFaults{"store_stop",   "store_start", "store_wipe",
                                          "store_save",   "store_old",   "store_silent",
                                          "store_errors", "store_lose",  "store_ok"};
 const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "throttle", "heal"};
-const std::set<std::string> kLinks{"discovery", "store"};
+const std::set<std::string> kLinks{"discovery", "store", "peers"};
 const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
-const std::set<std::string> kFates{"served",      "refused",        "failed",       "closed",
-                                   "unreachable", "lost",           "wrong",        "attempts",
-                                   "upgrades",    "claims",         "roster_here",  "roster_draining",
-                                   "roster_left", "roster_missing", "roster_agreed"};
+const std::set<std::string> kFates{"served",      "refused",        "failed",        "closed",
+                                   "unreachable", "lost",           "wrong",         "attempts",
+                                   "upgrades",    "claims",         "roster_here",   "roster_draining",
+                                   "roster_left", "roster_missing", "roster_agreed", "copies_equal"};
 
 class Reader {
  public:
@@ -146,7 +147,8 @@
     throw BadScenario(out.str());
   }
   const Reader r(path);
-  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "worker", "store", "step", "expect", "random"});
+  r.onlyKeys(file,
+             {"name", "length_s", "fleet", "load", "worker", "store", "replica", "step", "expect", "random"});
   Scenario s;
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
@@ -193,13 +195,20 @@
     s.storeTtlMs = r.number(*store, "ttl_ms", s.storeTtlMs, 1000, 86400000);
     s.storeLockDelayMs = r.number(*store, "lock_delay_ms", s.storeLockDelayMs, 0, 60000);
   }
+  if (const toml::table* replica = file["replica"].as_table()) {
+    r.onlyKeys(*replica, {"probe_every_ms", "gossip_every_ms", "repair_every_ms"});
+    s.replica = true;
+    s.probeEveryMs = r.number(*replica, "probe_every_ms", s.probeEveryMs, 100, 60000);
+    s.gossipEveryMs = r.number(*replica, "gossip_every_ms", s.gossipEveryMs, 20, 60000);
+    s.repairEveryMs = r.number(*replica, "repair_every_ms", s.repairEveryMs, 100, 3600000);
+  }
   double last = 0;
   if (const toml::array* steps = file["step"].as_array()) {
     for (const toml::node& node : *steps) {
       const toml::table* table = node.as_table();
       if (!table) r.bad(node.source(), "a step is a table: [[step]]");
-      r.onlyKeys(*table,
-                 {"at_s", "do", "gatekeeper", "worker", "zone", "link", "delay_ms", "bytes_per_s", "patch"});
+      r.onlyKeys(*table, {"at_s", "do", "gatekeeper", "worker", "zone", "link", "below", "delay_ms",
+                          "bytes_per_s", "patch"});
       Step step;
       step.line = static_cast<int>(table->source().begin.line);
       if (!table->get("at_s")) r.bad(table->source(), "a step has no at_s");
@@ -228,6 +237,11 @@
       if (!step.patch.empty() && step.what != "hup") r.bad(what->source(), "only hup takes a patch");
       const bool onWorkers = step.worker || step.zone;
       if (onWorkers && !step.link.empty()) r.bad(what->source(), "a link to a worker or by name, not both");
+      step.below = r.number(*table, "below", 0, 1, s.gatekeepers - 1);
+      if (step.link == "peers" && (!s.replica || (!step.gatekeeper && step.below == 0)))
+        r.bad(what->source(), "peers' links need a [replica] and a gatekeeper or below");
+      const bool byHand = step.what == "exclude" || step.what == "include";
+      if (byHand && !step.worker) r.bad(what->source(), step.what + " needs a worker");
       const bool ofStore =
           kStoreFaults.contains(step.what) || step.what == "invalidate" || step.link == "store";
       if (ofStore && !s.store) r.bad(what->source(), step.what + " needs a [store]");
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -30,7 +30,8 @@
   // step with "holder" meant.
   std::string role;
   std::optional<std::string> zone;
-  std::string link;      // "discovery", "store": the links are those of gatekeepers to it
+  std::string link;  // "discovery", "store": the links are those of gatekeepers to it; "peers": to each other
+  int below = 0;     // "peers" only: the links between gatekeepers below this and the others, both ways
   double delayMs = 0;    // `delay` only: added to each piece, each way
   double bytesPerS = 0;  // `throttle` only: what passes at most, each way
   std::string patch;     // `hup` only: a JSON merge patch of that gatekeeper's configuration file
@@ -41,8 +42,9 @@
 // requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
 // workers in that time; `upgrades` whose old process has ended in order; `claims` of the duty (a new token
 // was recorded); or of the last roster recorded before beforeS how many names are `roster_here`,
-// `roster_draining`, `roster_left`, `roster_missing`; or `roster_agreed`, how many gatekeepers tell that
-// roster at the end to an operator.
+// `roster_draining`, `roster_left`, `roster_missing`; `copies_equal`, how many
+// gatekeepers hold the most common copy of the shared state at the end; or `roster_agreed`, how many
+// gatekeepers tell that roster at the end to an operator.
 struct Expect {
   std::string fate;
   std::optional<int> gatekeeper, worker;
@@ -74,6 +76,10 @@
   // `[store]`: gatekeepers have a coordination store, with sessions of this TTL and lock-delay.
   bool store = false;
   double storeTtlMs = 2000, storeLockDelayMs = 200;
+  // `[replica]`: gatekeepers share state; each is told of the two after it, and finds the others through
+  // them.
+  bool replica = false;
+  double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
   std::vector<Step> steps;
   std::vector<Expect> expects;
 
