A holder whose writes take no effect for two TTLs gives its duty up

Change: nothing written takes effect for two TTLs: the lock is given back, the holder rests for two TTLs. Figure svc.replica.caught_up_ms.

Measured: in virtual time another holds it within 2 TTLs and a second of the first act that fails, no lower token.

--- a/src/duty/duties.cpp
+++ b/src/duty/duties.cpp
@@ -408,6 +408,7 @@
 bool Duties::write(Time now, const std::string& name, const std::string& data) {
   for (Held& d : duties_) {
     if (d.name != name || d.state != State::holding) continue;
+    if (!d.writes && d.doing != Step::act) d.writesSince = now;
     d.writes = true, d.next = data;
     tick(now);
     return true;
@@ -540,6 +541,7 @@
       d.at = now;
       if (reply.ok && reply.yes) {
         ++counts_.acts;
+        d.writesSince = now;
         d.work->recorded(now, d.token, self_.instance, d.data);
       } else if (!d.writes) {
         d.writes = true, d.next = d.data, d.at = soon;  // read again: what came of it, and whose it is
@@ -644,6 +646,8 @@
     lookAnew(now, d);
     if (alive_) abandonSession(now);
   }
+  if (d.state == State::holding && d.writes && now >= d.writesSince + 2 * timing_.ttl)
+    unfit(now, d.name, "nothing that it writes takes effect");
   if (d.state == State::resting && now >= d.at) look(now, d);
   if (d.state == State::holding && d.membersAsk == 0 && now >= d.membersAt) {
     Ask read;
--- a/src/duty/duties.hpp
+++ b/src/duty/duties.hpp
@@ -123,7 +123,8 @@
   bool mayAct(Time now, const std::string& name) const;
   // Writes the duty's record; the latest data goes out where an act is under way. False: it is not held.
   bool write(Time now, const std::string& name, const std::string& data);
-  // The holder cannot do it: gives it up and stands back for two TTLs.
+  // The holder cannot do it: gives it up and stands back for two TTLs. So it does by itself where nothing
+  // that it writes takes effect for two TTLs.
   void unfit(Time now, const std::string& name, const std::string& why);
   // SIGTERM: acts stop, then locks are given back; the registration says that it drains.
   void drain(Time now);
@@ -156,6 +157,7 @@
     std::string lockSession, holder, lastError, refused;  // refused: the record last refused as stale
     Token token = 0, seen = 0, claim = 0, membersSeen = 0;
     std::string data;                   // of the record as last read
+    Time writesSince = 0;               // the first of the writes that have not taken effect
     bool writes = false, gone = false;  // gone: its record, and that was told
     std::string next;                   // to be written
     std::uint64_t membersAsk = 0, membersIndex = 0;
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -369,6 +369,7 @@
     line(std::string("members_") + nameOf(health), byHealth[static_cast<std::size_t>(health)], "g");
   line("rows", core_->rows().size(), "g");
   line("caught_up", core_->caughtUp(), "g");
+  line("caught_up_ms", static_cast<std::uint64_t>(caughtUpAt_ < 0 ? 0 : caughtUpAt_ - startedAt_), "g");
   line("since_repair_ms",
        static_cast<std::uint64_t>(core_->lastRepair() < 0 ? 0 : std::max(0.0, now() - core_->lastRepair())),
        "g");
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -62,6 +62,17 @@
     return static_cast<int>(
         std::count_if(processes_.begin(), processes_.end(), [](const auto& p) { return p->holds(); }));
   }
+  // From now on nothing that the holder writes takes effect, whatever else it asks does.
+  int cripple() {
+    for (auto& p : processes_)
+      if (p->holds()) return crippled_ = p->index;
+    return -1;
+  }
+  int holder() const {
+    for (const auto& p : processes_)
+      if (p->holds()) return p->index;
+    return -1;
+  }
   // The process that holds the duty is gone at once; -1: none does.
   int crashHolder() {
     for (auto& p : processes_)
@@ -227,6 +238,7 @@
         reply.yes = store_.release(t, ask.key, ask.session).value_or(false);
         break;
       case Call::compareAndSet:
+        if (p.index == crippled_ && p.core->status()[0].state == State::holding) return;
         reply.yes = store_.compareAndSet(t, ask.key, ask.index, ask.value);
         fenced += !reply.yes;
         break;
@@ -322,6 +334,7 @@
   std::vector<std::unique_ptr<Process>> processes_;
   std::map<Token, std::string> holderOf_;
   Process* acting_ = nullptr;
+  int crippled_ = -1;
 };
 
 // Within the assumptions: never two by true time, and one again within six TTLs of the last fault.
@@ -363,6 +376,20 @@
   EXPECT_GT(fenced, static_cast<long>(kSchedules / 10));
 }
 
+// A holder whose acts do not take effect gives the duty up and stands back; another does it.
+TEST(DutySchedules, AHolderThatCannotDoItGivesItUp) {
+  Faults none;
+  none.until = 0;
+  Sim sim(5, 4, none);
+  sim.run(10000);
+  const int first = sim.cripple();
+  ASSERT_GE(first, 0);
+  sim.run(10000 + 2 * 2000 + 1000);
+  EXPECT_EQ(sim.holders(), 1);
+  EXPECT_NE(sim.holder(), first);
+  EXPECT_EQ(sim.lowerTokens, 0);
+}
+
 // Calls at the store, all well and after the holder's crash: the bounds of the design page.
 TEST(DutyLoad, CallsAtTheStoreHaveABound) {
   for (const int n : {1, 30, 300}) {
