Keep the store and the replica of a process that drains; drop state that nobody read

Cause: after SIGTERM the end waits for the coordinator; a SIGHUP that took coordination out of the file moved that coordinator away (Gatekeeper::reload), and the end called a null pointer. Found by reading the change.

Change: reload leaves both as they are while the process drains. Two pieces of dead state go (Duties::registered_, the second half of Replica::reaching_).

--- a/src/duty/duties.cpp
+++ b/src/duty/duties.cpp
@@ -152,7 +152,7 @@
     sessionAt_ = now + std::max(kBackoffFirst, retry);
     if (!reply.ok || reply.session.empty()) return;
     session_ = reply.session;
-    alive_ = true, registered_ = false, dirty_ = true;
+    alive_ = true, dirty_ = true;
     createdAt_ = renewedAt_ = sent;
     memberAt_ = now;
   } else if (!reply.ok) {
@@ -178,7 +178,7 @@
   send(now, std::move(end), For::end);
   drop(sessionAsk_);
   drop(memberAsk_);
-  alive_ = registered_ = false;
+  alive_ = false;
   dirty_ = true;
   session_.clear();
   sessionAt_ = now + chance(timing_.spread());
@@ -186,7 +186,7 @@
 
 void Duties::sessionLost(Time now) {
   ++counts_.sessionsLost;
-  alive_ = false, registered_ = false;
+  alive_ = false;
   session_.clear();
   sessionAt_ = now + chance(timing_.spread());
   for (Held& d : duties_) {
@@ -205,10 +205,7 @@
 }
 
 void Duties::onMember(Time now, const Reply& reply) {
-  if (reply.ok && reply.yes) {
-    registered_ = true;
-    return;
-  }
+  if (reply.ok && reply.yes) return;
   dirty_ = true;
   memberAt_ = now + std::max(kBackoffFirst, chance(timing_.ttl / 6));
 }
--- a/src/duty/duties.hpp
+++ b/src/duty/duties.hpp
@@ -213,7 +213,7 @@
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::uint64_t lastAsk_ = 0;
   std::string session_;
-  bool alive_ = false, registered_ = false, dirty_ = true, draining_ = false, left_ = false, started_ = false;
+  bool alive_ = false, dirty_ = true, draining_ = false, left_ = false, started_ = false;
   Time createdAt_ = 0, renewedAt_ = 0, sessionAt_ = 0, sessionBackoff_ = 0, memberAt_ = 0, quietUntil_ = 0;
   std::uint64_t sessionAsk_ = 0, memberAsk_ = 0;
   Counts counts_;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -363,14 +363,15 @@
     std::fprintf(stderr, "burlwind: limits.memory_mb stays at %g, as at the start\n", config_.memoryMb);
   for (const std::string& name : config_.host.classes)
     if (metrics_.classes.size() < kMostClasses) metrics_.classes.try_emplace(name);
-  if (config.coordination != config_.coordination) {
+  // One that drains has told both that it goes, and its end waits for the coordinator that it has.
+  if (!draining_ && config.coordination != config_.coordination) {
     config_.coordination = config.coordination;
     if (coordinator_) coordinator_->drain();
     retired_ = std::move(coordinator_);
     if (retired_) retired_->leave(kRetireWithin, [] {});
     coordinate();
   }
-  if (config.replication != config_.replication) {
+  if (!draining_ && config.replication != config_.replication) {
     config_.replication = config.replication;
     if (replica_) replica_->drain();
     retiredReplica_ = std::move(replica_);  // tells the others that it leaves
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -214,7 +214,7 @@
   }
   hear(now, m);
   if (m.kind == Kind::reach && members_.contains(m.target)) {
-    reaching_[m.target] = {m.self.name, m.target};
+    reaching_[m.target] = m.self.name;
     send(now, m.target, Kind::ping, m.target);
   }
   if (m.kind == Kind::vouch && m.target == probed_) probeAnswered_ = true;
@@ -243,7 +243,7 @@
   if (out.kind == Kind::ping) {
     if (out.to == probed_) probeAnswered_ = true;
     if (const auto asked = reaching_.find(out.to); asked != reaching_.end()) {
-      const std::string who = asked->second.first;
+      const std::string who = asked->second;
       reaching_.erase(asked);
       send(now, who, Kind::vouch, out.to);
     }
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -144,7 +144,7 @@
   std::vector<std::string> order_;  // of probes, shuffled each time round
   std::string probed_;
   bool probeAnswered_ = true;
-  std::map<std::string, std::pair<std::string, std::string>> reaching_;  // name -> who asked, their name
+  std::map<std::string, std::string> reaching_;  // name -> who asked
   Time probeAt_ = 0, gossipAt_ = 0, repairAt_ = 0, findAt_ = 0, lastRepair_ = -1;
   unsigned repairsInRow_ = 0;
   bool started_ = false, caughtUp_ = false, superseded_ = false, left_ = false;
