Reopen the watch within the told time, whatever the number of gatekeepers

Silence was noticed in time (4.5 s); the list came in 1 ms once asked for; between lay one wait of 8.3 s: kBackoffFirstEach x 300 = 6 s, times 0.5 to 1.5 (src/node/discovery.cpp, `again`), up to 48 s on.

Ruled out: the list (told 0.1 to 0.2 s after the change where a watch stood, n243), its reading (1 ms), a call begun while discovery is down (n243's was answered at the return), a new process (list 0.08 s after its start).

Now an agent of one's own is asked again within half of rules.stopSendingWithin for an answer and an eighth of it between calls, so what it has is had in 1.4 of 2 s; the pace by the fleet's size begins only with a call that was turned away (any answer but 200) and ends with the next list. src/watch/ decides that without I/O; discovery.cpp carries it out. An answer counts once its first line is whole, so a header or half a line no longer holds a dead watch open. Lists may come indented and are cut by their braces. A list that is older than what is known, or names one id twice, is turned down, the whole list is asked for, and what was told to leave stays so.

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -95,6 +95,10 @@
   return Pressure::limitsFor(aim);
 }
 
+Watch::Limits watchLimits(const Config& config) {
+  return Watch::limitsFor(config.settings.drainGrace, config.settings.gateways);
+}
+
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
@@ -129,14 +133,13 @@
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
   applyExclusions({});
   takeLegacy();
-  long long from = -1;
+  Roster known;
   if (!config_.known.empty()) {
-    const Roster known = parseRoster(config_.known);
-    from = known.generation;
+    known = parseRoster(config_.known);
     told(known, ListKind::cached);
   }
   discovery_ = std::make_unique<Discovery>(
-      io, config_.discovery, from, Discovery::Crowd{config_.settings.gateways, config_.seed},
+      io, config_.discovery, std::move(known), watchLimits(config_), config_.seed,
       [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); },
       pressure_);
 }
@@ -319,12 +322,13 @@
       "burlwind: served %u refused %u failed %u rejected %u held %zu; attempts ok %u error %u "
       "(unreadable %u) full %u timeout %u unconnected %u reset %u (reused %u, in an answer %u) cancelled %u; "
       "connections client %zu "
-      "worker %zu; most buffered client %zu worker %zu; discovery read %zu longest line %zu lists %u\n",
+      "worker %zu; most buffered client %zu worker %zu; discovery read %zu longest line %zu lists %u calls "
+      "%llu\n",
       served_, refused_, failed_, server.rejected, held_.size(), ended(Result::ok), ended(Result::error),
       pool.unreadable, ended(Result::full), ended(Result::timeout), ended(Result::connectFailed),
       ended(Result::reset), pool.resetReused, pool.resetInAnswer, ended(Result::cancelled),
       server_.connections(), pool_.connections(), server.mostBuffered, pool.mostBuffered, discovery.read,
-      discovery.longestLine, discovery.lists);
+      discovery.longestLine, discovery.lists, static_cast<unsigned long long>(discovery.calls));
   served_ = refused_ = failed_ = 0;
   pressure_.report();
 }
@@ -378,7 +382,7 @@
     share();
   }
   ++metrics_.reconfigOk;
-  discovery_->moveTo(config.discovery);
+  discovery_->moveTo(config.discovery, watchLimits(config_));
   std::fprintf(stderr, "burlwind: configuration read again\n");
 }
 
--- /dev/null
+++ b/src/watch/list.cpp
@@ -0,0 +1,156 @@
+#include "watch/list.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "node/config.hpp"
+
+namespace burlwind {
+namespace {
+
+using nlohmann::json;
+
+// Ids told to leave that are remembered; past it those of the oldest lists go. A release of 1,024 workers
+// eight times over; 100 bytes each.
+constexpr std::size_t kMostLeaving = 8192;
+
+irisring::Phase phaseOf(const std::string& lifecycle) {
+  if (lifecycle == "Ready") return irisring::Phase::ready;
+  if (lifecycle == "Terminating") return irisring::Phase::draining;
+  if (lifecycle == "Gone") return irisring::Phase::gone;
+  throw std::runtime_error("unknown lifecycle " + lifecycle.substr(0, 40));
+}
+
+Instance readInstance(const json& entry) {
+  Instance out;
+  out.id = entry.at("instanceId").get<std::string>();
+  out.phase = phaseOf(entry.at("lifecycle").get<std::string>());
+  const std::string address = entry.value("hostPort", "");
+  if (out.phase != irisring::Phase::gone || !address.empty()) out.address = parseEndpoint(address);
+  out.zone = entry.value("zone", "");
+  out.kind = entry.value("machineType", "");
+  out.cell = entry.value("cell", 0u);
+  out.startedAtMs = entry.value("startedAtMs", 0.0);
+  return out;
+}
+
+}  // namespace
+
+Roster parseRoster(std::string_view text) {
+  try {
+    const json object = json::parse(text);
+    Roster out;
+    out.generation = object.at("generation").get<long long>();
+    out.reset = object.value("reset", false);
+    std::unordered_set<std::string> ids;
+    for (const json& entry : object.at("instances")) {
+      out.instances.push_back(readInstance(entry));
+      if (!ids.insert(out.instances.back().id).second)
+        throw std::runtime_error("named twice: " + out.instances.back().id.substr(0, 40));
+    }
+    return out;
+  } catch (const json::exception& error) {
+    throw std::runtime_error(std::string("list: ") + error.what());
+  } catch (const std::runtime_error& error) {
+    throw std::runtime_error(std::string("list: ") + error.what());
+  }
+}
+
+void addTo(Roster& first, Roster&& next) {
+  first.generation = next.generation;
+  if (next.reset) {
+    first = std::move(next);
+    return;
+  }
+  std::unordered_map<std::string, std::size_t> at;
+  for (std::size_t i = 0; i < first.instances.size(); ++i) at[first.instances[i].id] = i;
+  for (Instance& instance : next.instances) {
+    const auto [found, fresh] = at.try_emplace(instance.id, first.instances.size());
+    if (fresh)
+      first.instances.push_back(std::move(instance));
+    else
+      first.instances[found->second] = std::move(instance);
+  }
+}
+
+// --- ObjectReader ----------------------------------------------------------------------------------------
+
+std::optional<std::string_view> ObjectReader::next(std::string_view text) {
+  for (; at_ < text.size(); ++at_) {
+    const char c = text[at_];
+    if (depth_ == 0) {
+      if (c == '\n') ++beats_;
+      if (c == '{')
+        from_ = at_, depth_ = 1;
+      else if (c == ' ' || c == '\t' || c == '\r' || c == '\n')
+        done_ = at_ + 1;
+      else
+        throw std::runtime_error("list: no object");
+    } else if (escaped_) {
+      escaped_ = false;
+    } else if (quoted_) {
+      escaped_ = c == '\\';
+      quoted_ = c != '"';
+    } else if (c == '"') {
+      quoted_ = true;
+    } else if (c == '{') {
+      ++depth_;
+    } else if (c == '}' && --depth_ == 0) {
+      done_ = ++at_;
+      return text.substr(from_, done_ - from_);
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t ObjectReader::heartbeats() { return std::exchange(beats_, 0); }
+
+std::size_t ObjectReader::drop() {
+  at_ -= done_;
+  from_ -= std::min(from_, done_);
+  return std::exchange(done_, 0);
+}
+
+// --- News ------------------------------------------------------------------------------------------------
+
+bool News::take(Roster& list) {
+  const bool old = list.generation < newest_;
+  if (from_ >= 0 ? list.generation < from_ : old && !list.reset) {
+    distrust();
+    return false;
+  }
+  if (old) {
+    for (Instance& instance : list.instances) {
+      const auto known = leaving_.find(instance.id);
+      if (known != leaving_.end() && instance.phase == irisring::Phase::ready &&
+          instance.startedAtMs <= known->second.startedAtMs)
+        instance.phase = irisring::Phase::draining;
+    }
+  } else if (list.reset) {
+    leaving_.clear();
+  }
+  for (const Instance& instance : list.instances) note(instance, list.generation);
+  from_ = list.generation;
+  newest_ = std::max(newest_, list.generation);
+  return true;
+}
+
+void News::note(const Instance& instance, long long generation) {
+  if (instance.phase == irisring::Phase::ready) {
+    leaving_.erase(instance.id);
+    return;
+  }
+  Leaving& known = leaving_[instance.id];
+  known.generation = std::max(known.generation, generation);
+  known.startedAtMs = std::max(known.startedAtMs, instance.startedAtMs);
+  if (leaving_.size() <= kMostLeaving) return;
+  leaving_.erase(std::min_element(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) {
+    return a.second.generation < b.second.generation;
+  }));
+}
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/watch/watch.cpp
@@ -0,0 +1,91 @@
+#include "watch/watch.hpp"
+
+#include <algorithm>
+
+namespace burlwind {
+namespace {
+
+// An empty line comes every 2 s. What a silent watch misses counts as told 6 s after it fell silent: longer,
+// and a worker that leaves is sent to; shorter: one late line reopens the watch.
+constexpr Watch::Time kSilence = 4500;
+// An agent of one's own answers at once. When it begins to talk again, what it has counts as told in that
+// moment, and there is `stopWithin` to have it: half of that for an answer that does not come, three eighths
+// for one and a half times the longest wait, the rest for the call itself. Longer: a worker that leaves is
+// sent to. Shorter: calls that a slow machine would have answered are made twice.
+constexpr double kAnswerShare = 0.5, kMostShare = 0.125;
+constexpr Watch::Time kUsualStop = 2000, kLeastStop = 400;
+constexpr Watch::Time kFirst = 50;
+// Where discovery turns calls away it serves many, some twenty calls a second, and gives one up after 2 s
+// itself. Calls that come faster than that for long each wait past its time, so that none is served any
+// more. Shorter: that; longer: late news after a loss.
+constexpr Watch::Time kSharedAnswer = 2500, kSharedMost = 1000;
+constexpr Watch::Time kFirstEach = 20, kMostEach = 160;
+
+}  // namespace
+
+Watch::Limits Watch::limitsFor(Time stopWithin, unsigned gatekeepers) {
+  const Time stop = stopWithin > 0 ? std::clamp(stopWithin, kLeastStop, kUsualStop) : kUsualStop;
+  Limits out;
+  out.answer = kAnswerShare * stop;
+  out.silence = kSilence;
+  out.most = kMostShare * stop;
+  out.first = std::min(kFirst, out.most);
+  out.sharedAnswer = std::max(kSharedAnswer, out.answer);
+  out.sharedFirst = std::max(kFirst, kFirstEach * gatekeepers);
+  out.sharedMost = std::max(kSharedMost, kMostEach * gatekeepers);
+  return out;
+}
+
+Watch::Act Watch::open(Time now) {
+  shared_ = false;
+  wait_ = 0;
+  state_ = State::waiting;
+  due_ = now;
+  return look(now);
+}
+
+Watch::Act Watch::up(Time) {
+  if (state_ != State::connecting) return Act::none;
+  state_ = State::asked;
+  return Act::ask;
+}
+
+void Watch::line(Time now) {
+  if (state_ != State::asked && state_ != State::watching) return;
+  if (state_ == State::asked) since_ = now;
+  state_ = State::watching;
+  shared_ = false;
+  due_ = now + limits_.silence;
+}
+
+Watch::Act Watch::lost(Time now) { return again(now); }
+
+Watch::Act Watch::turnedAway(Time now) {
+  if (!shared_) wait_ = 0;
+  shared_ = true;
+  return again(now);
+}
+
+Watch::Act Watch::look(Time now) {
+  if (state_ == State::stopped || now < due_) return Act::none;
+  if (state_ != State::waiting) return again(now);
+  state_ = State::connecting;
+  due_ = now + (shared_ ? limits_.sharedAnswer : limits_.answer);
+  ++calls_;
+  return Act::connect;
+}
+
+// By chance: gatekeepers that lost discovery together do not come back together. A watch that stood for a
+// while before it was lost is no reason for a longer wait; one that is lost at once each time is.
+Watch::Act Watch::again(Time now) {
+  if (state_ == State::stopped || state_ == State::waiting) return Act::none;
+  const Time first = shared_ ? limits_.sharedFirst : limits_.first;
+  const Time most = shared_ ? limits_.sharedMost : limits_.most;
+  if (state_ == State::watching && now - since_ > most) wait_ = 0;
+  wait_ = wait_ > 0 ? std::min(2 * wait_, most) : first;
+  state_ = State::waiting;
+  due_ = now + wait_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
+  return Act::close;
+}
+
+}  // namespace burlwind
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -155,7 +155,8 @@
     std::vector<std::unique_ptr<Discovery>> all;
     for (unsigned i = 0; i < 10; ++i) {
       all.push_back(std::make_unique<Discovery>(
-          io, agent.address(), -1, Discovery::Crowd{gatekeepers, i}, [](const Roster&) {}, pressure));
+          io, agent.address(), Roster{}, Watch::limitsFor(2000, gatekeepers), i, [](const Roster&) {},
+          pressure));
       all.back()->start();
     }
     until([&] { return agent.count("GET /registry/instances") == 10; }, "all call");
--- /dev/null
+++ b/tests/watch_test.cpp
@@ -0,0 +1,274 @@
+// The watch on the list of workers in virtual time: agents of one's own and one discovery for all, silence,
+// resets, downtime and refusals by seed; and what of a list that is old, cut or malformed holds.
+#include "watch/watch.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "watch/list.hpp"
+
+namespace burlwind {
+namespace {
+
+using Time = Watch::Time;
+constexpr Time kStep = 5, kStop = 2000, kBeat = 2000, kToldAfterSilence = 6000;
+
+// A gatekeeper and the agent on its machine. Whatever the agent was asked while it was down is never
+// answered.
+struct Machine {
+  enum class Agent { up, silent, refusing };
+
+  Machine(unsigned gatekeepers, std::uint64_t seed)
+      : watch(Watch::limitsFor(kStop, gatekeepers), seed), random(seed) {}
+
+  Watch watch;
+  std::mt19937_64 random;
+  Agent agent = Agent::up;
+  bool open = false, deaf = false;
+  Time now = 0, beat = 0, toldAt = 0, deafSince = 0;
+  long version = 0, has = 0;
+  std::vector<Time> callTimes;
+
+  double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
+
+  void act(Watch::Act what) {
+    while (what != Watch::Act::none) {
+      open = what == Watch::Act::ask && agent != Agent::refusing;
+      if (what == Watch::Act::connect) {
+        callTimes.push_back(now);
+        what = agent == Agent::refusing ? watch.lost(now) : watch.up(now);
+        continue;
+      }
+      deaf = open && agent != Agent::up;
+      if (open && !deaf) hear();
+      return;
+    }
+  }
+  void hear() {
+    has = version;
+    watch.line(now);
+    beat = now + kBeat;
+  }
+  // The agent has something new, which counts as told now, or later where the open watch is deaf by itself.
+  void change() {
+    if (agent == Agent::up)
+      ++version, toldAt = open && deaf ? std::max(now, deafSince + kToldAfterSilence) : now;
+  }
+  void step() {
+    now += kStep;
+    act(watch.look(now));
+    if (open && !deaf && agent == Agent::up && (has < version || now >= beat)) hear();
+  }
+  void become(Agent to) {
+    if (to == Agent::refusing && open) open = false, agent = to, act(watch.lost(now));
+    if (to == Agent::silent && open) deaf = true;
+    agent = to;
+    if (to == Agent::up) ++version, toldAt = now;
+  }
+  void deafen() {
+    if (open && !deaf) deaf = true, deafSince = now;
+  }
+};
+
+// Whatever happens to the watch, what counts as told is had before nothing may be sent any more, at every
+// size of the fleet; and the agents are not called more often than they have to be.
+TEST(OwnAgent, WhatCountsAsToldIsHadInTimeWhateverTheFleetsSize) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const unsigned gatekeepers = seed % 3 == 0 ? 1 : seed % 3 == 1 ? 300 : 350;
+    Machine m(gatekeepers, seed);
+    m.act(m.watch.open(0));
+    Time fault = 3000, undo = -1, change = 1000;
+    while (m.now < 60000) {
+      if (undo >= 0 && m.now >= undo)
+        m.become(Machine::Agent::up), undo = -1, fault = m.now + kStop + 9000 * m.chance();
+      if (undo < 0 && m.now >= fault) {
+        const double which = m.chance();
+        if (which < 0.25 && m.open) {
+          m.open = false;
+          m.act(m.watch.lost(m.now));  // reset
+          fault = m.now + kStop + 4000 * m.chance();
+        } else if (which < 0.5) {
+          m.deafen();
+          fault = m.now + 12000;
+        } else {
+          m.become(which < 0.75 ? Machine::Agent::silent : Machine::Agent::refusing);
+          undo = m.now + 2600 + 8000 * m.chance();
+        }
+      }
+      if (m.now >= change) m.change(), change = m.now + 3000 * m.chance();
+      m.step();
+      ASSERT_TRUE(m.has == m.version || m.now <= m.toldAt + kStop)
+          << "seed " << seed << " of " << gatekeepers << " at " << m.now << ", told at " << m.toldAt;
+    }
+    // At most one call in the shortest wait; while the agent says nothing, fewer than two a second.
+    EXPECT_LT(m.callTimes.size(), 60u * 5) << "seed " << seed;
+  }
+}
+
+TEST(OwnAgent, ASilentAgentIsAskedLessThanTwiceASecondAndARefusingOneLessThanEightTimes) {
+  for (const auto agent : {Machine::Agent::silent, Machine::Agent::refusing}) {
+    Machine m(350, 7);
+    m.agent = agent;
+    m.act(m.watch.open(0));
+    while (m.now < 60000) m.step();
+    EXPECT_LT(m.callTimes.size(), agent == Machine::Agent::silent ? 120u : 480u);
+    EXPECT_GT(m.callTimes.size(), 40u);
+  }
+}
+
+// An agent that answers and ends each time is not called at the pace of the first wait.
+TEST(OwnAgent, AWatchThatEndsAtOnceEachTimeIsOpenedMoreAndMoreSlowly) {
+  Machine m(3, 1);
+  m.act(m.watch.open(0));
+  while (m.now < 10000) {
+    m.step();
+    if (m.open) m.open = false, m.act(m.watch.lost(m.now));
+  }
+  EXPECT_LT(m.callTimes.size(), 60u);
+}
+
+// One discovery for all: it serves a call in 50 ms, turns away what has waited for 2 s or finds forty
+// waiting, and serves in turn also those who have given up.
+struct Shared {
+  Shared(unsigned n, std::uint64_t seed) {
+    for (unsigned i = 0; i < n; ++i) all.emplace_back(Watch::limitsFor(kStop, n), seed * 1000 + i);
+    state.resize(n);
+  }
+  struct One {
+    std::uint64_t turn = 0;
+    bool has = false;
+  };
+  struct Call {
+    std::size_t of;
+    std::uint64_t turn;
+    Time at;
+  };
+  std::vector<Watch> all;
+  std::vector<One> state;
+  std::deque<Call> line;
+  Time now = 0, freeAt = 0;
+  unsigned calls = 0, had = 0;
+
+  void act(std::size_t i, Watch::Act what) {
+    if (what == Watch::Act::none) return;
+    ++state[i].turn;
+    if (what != Watch::Act::connect) return;
+    ++calls;
+    all[i].up(now);
+    if (line.size() >= 40) return act(i, all[i].turnedAway(now));
+    line.push_back({i, state[i].turn, now});
+  }
+  void step() {
+    now += kStep;
+    while (!line.empty() && now - line.front().at >= 2000) {
+      const Call call = line.front();
+      line.pop_front();
+      if (state[call.of].turn == call.turn) act(call.of, all[call.of].turnedAway(now));
+    }
+    if (!line.empty() && now >= freeAt) {
+      const Call call = line.front();
+      line.pop_front();
+      freeAt = now + 50;
+      if (state[call.of].turn == call.turn) {
+        all[call.of].line(now);
+        had += !std::exchange(state[call.of].has, true);
+      }
+    }
+    for (std::size_t i = 0; i < all.size(); ++i)
+      if (!state[i].has) act(i, all[i].look(now));
+  }
+};
+
+TEST(OneForAll, ADiscoveryThatTurnsCallsAwayIsCalledNoFasterThanItServes) {
+  for (const unsigned n : {100u, 350u}) {
+    Shared fleet(n, 1);
+    for (std::size_t i = 0; i < n; ++i) fleet.act(i, fleet.all[i].open(0));
+    while (fleet.now < 5000) fleet.step();
+    const unsigned before = fleet.calls;
+    Time done = 0;
+    while (fleet.now < 120000 && fleet.had < n) fleet.step(), done = fleet.now;
+    EXPECT_EQ(fleet.had, n);
+    EXPECT_LT(done, 50.0 * n * 4) << n;  // a quarter of what it can serve, at least
+    EXPECT_LT(1000.0 * (fleet.calls - before) / (done - 5000), 60.0) << n;  // calls a second, all together
+  }
+}
+
+// --- Lists -----------------------------------------------------------------------------------------------
+
+std::string entry(const std::string& id, const std::string& lifecycle, double started = 0) {
+  return R"({"instanceId":")" + id + R"(","hostPort":"127.0.0.1:1","lifecycle":")" + lifecycle +
+         R"(","startedAtMs":)" + std::to_string(started) + "}";
+}
+
+Roster list(long long generation, bool reset, const std::vector<std::string>& entries) {
+  std::string all;
+  for (const std::string& one : entries) all += (all.empty() ? "" : ",") + one;
+  return parseRoster(R"({"generation":)" + std::to_string(generation) + R"(,"reset":)" +
+                     (reset ? "true" : "false") + R"(,"instances":[)" + all + "]}");
+}
+
+TEST(Lists, AreReadIndentedOrNotHoweverTheyAreCut) {
+  const std::string stream =
+      "\r\n{\"a\":\"}{\\\"\",\r\n  \"b\": [ {\n } ]\n}\n\n \n{\"c\":1}{\"d\":2}\n{\"half\":";
+  for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+    ObjectReader reader;
+    std::string held;
+    std::vector<std::string> found;
+    std::size_t beats = 0;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      held += stream.substr(at, piece);
+      while (const auto object = reader.next(held)) found.emplace_back(*object);
+      beats += reader.heartbeats();
+      held.erase(0, reader.drop());
+    }
+    ASSERT_EQ(found, (std::vector<std::string>{"{\"a\":\"}{\\\"\",\r\n  \"b\": [ {\n } ]\n}", "{\"c\":1}",
+                                               "{\"d\":2}"}));
+    EXPECT_EQ(beats, 5u);
+    EXPECT_EQ(held, "{\"half\":");
+  }
+  ObjectReader reader;
+  EXPECT_THROW(reader.next("\n[1]"), std::runtime_error);
+}
+
+TEST(Lists, ThatSayNothingSensibleAreTurnedDownWhole) {
+  const std::string good = entry("s-1", "Ready");
+  for (const std::string& wrong :
+       {entry("s-2", "Resting"), good, std::string("7"),
+        std::string(R"({"instanceId":3,"lifecycle":"Ready"})"),
+        std::string(R"({"instanceId":"s-3","lifecycle":"Ready","hostPort":"nowhere"})")})
+    EXPECT_THROW(list(1, false, {good, wrong}), std::runtime_error) << wrong;
+  EXPECT_THROW(parseRoster(R"({"generation":"x","instances":[]})"), std::runtime_error);
+  EXPECT_THROW(parseRoster(R"({"generation":1})"), std::runtime_error);
+}
+
+// An agent that lags is asked for the whole list once; what was told to leave stays so until somebody newer,
+// or a new start, says otherwise.
+TEST(Lists, ThatAreOlderThanWhatIsKnownBringNoLeavingWorkerBack) {
+  News news;
+  const auto phaseOf = [](const Roster& roster, std::size_t i) { return roster.instances.at(i).phase; };
+  const auto take = [&](Roster roster, bool expected) {
+    EXPECT_EQ(news.take(roster), expected);
+    return roster;
+  };
+  take(list(40, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready")}), true);
+  take(list(41, false, {entry("a", "Terminating"), entry("c", "Gone")}), true);
+  EXPECT_EQ(news.from(), 41);
+  take(list(39, false, {entry("a", "Ready")}), false);
+  EXPECT_EQ(news.from(), -1);
+  Roster old = take(list(39, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready", 5)}), true);
+  EXPECT_EQ(phaseOf(old, 0), irisring::Phase::draining);
+  EXPECT_EQ(phaseOf(old, 1), irisring::Phase::ready);
+  EXPECT_EQ(phaseOf(old, 2), irisring::Phase::ready) << "started anew";
+  old = take(list(40, false, {entry("a", "Ready")}), true);
+  EXPECT_EQ(phaseOf(old, 0), irisring::Phase::draining);
+  EXPECT_EQ(phaseOf(take(list(42, false, {entry("a", "Ready")}), true), 0), irisring::Phase::ready);
+}
+
+}  // namespace
+}  // namespace burlwind
