Send nothing on before the agent's first list has come to a new process

Need: what an agent has counts as told from a process's first moment, and the list in the configuration may be older than it. A worker told more than 2 s before the restart could be sent to in that time.

Change: until the first list, /health/ready says no and requests wait (bounded by the connections); one whose time ends first is refused, since nothing was sent. The same serves the start of an upgrade, whose own rules for it (300 ms after a header, 2.5 s) are gone. The wait for the watch's next look is rounded up: on a clock that stands, one that ended a fraction early began again without end.

Test: Gate.SendsNothingOnBeforeTheFirstListUnlessDiscoverySaysNothing; fails without the change (ready at once).

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -27,9 +27,11 @@
   return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
 }
 
+// Rounded up: a wait that ends a fraction too early would begin again without end on a clock that stands.
 Clock::time_point at(Watch::Time ms) {
-  return Clock::time_point(
-      std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(ms)));
+  using std::chrono::microseconds;
+  return Clock::time_point(std::chrono::ceil<microseconds>(std::chrono::duration<double, std::milli>(ms)) +
+                           microseconds(1));
 }
 
 }  // namespace
@@ -72,7 +74,6 @@
     out.calls = watch_.calls();
     return out;
   }
-  std::optional<Clock::time_point> answeredAt() const { return answeredAt_; }
 
   void stop() {
     stopped_ = true;
@@ -184,7 +185,6 @@
       say("turned away");
       return act(watch_.turnedAway(now()));
     }
-    if (!answeredAt_ && parser_->is_header_done()) answeredAt_ = Clock::now();
     line_ += parser_->get().body();
     parser_->get().body().clear();
     stats_.longestLine = std::max(stats_.longestLine, line_.size());
@@ -254,7 +254,6 @@
   std::optional<http::response_parser<http::string_body>> parser_;  // while there is a connection
   QuietLog log_{"discovery", kSayEvery};
   Stats stats_;
-  std::optional<Clock::time_point> answeredAt_;
   Watch::Time armedFor_ = 0;
   unsigned round_ = 0, turn_ = 0;
   bool armed_ = false;
@@ -267,9 +266,6 @@
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { link_->open(); }
 Discovery::Stats Discovery::takeStats() { return link_->takeStats(); }
-std::optional<std::chrono::steady_clock::time_point> Discovery::answeredAt() const {
-  return link_->answeredAt();
-}
 void Discovery::moveTo(const tcp::endpoint& agent, const Watch::Limits& limits) {
   link_->moveTo(agent, limits);
 }
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -32,8 +32,6 @@
     std::uint64_t calls = 0;      // connections begun, since the start
   };
   Stats takeStats();
-  // Since when an agent has answered; nothing: none has yet.
-  std::optional<std::chrono::steady_clock::time_point> answeredAt() const;
   void start();
   // Another agent from now on, unless it is the same; it is asked for what has changed since the last version
   // told.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -41,9 +41,8 @@
 constexpr auto kLeaveEvery = 1s;      // between two writings of what the next process inherits
 constexpr Time kLegacyHolds = 30000;  // ms; older: nobody has served since
 constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
-constexpr auto kFirstChange = 300ms;  // the agent's first object follows its answer's header; none: no change
-constexpr auto kListWithin = 2500ms;  // then the list as last known has to do
-constexpr Time kRetireWithin = 1000;  // for what is given back to a store that is used no more
+constexpr Time kEarlyRetry = 250;  // ms advised to what came before the first list and could not wait for it
+constexpr Time kRetireWithin = 1000;           // for what is given back to a store that is used no more
 constexpr const char* kExcluded = "excluded";  // the replicated table of workers out by hand
 constexpr std::size_t kMostNamed = 8192, kMostClasses = 512;
 
@@ -117,7 +116,7 @@
       server_(io, config_, serverLimits(config), *this, pressure_),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       exclusions_(config.stateDir),
-      startedAt_(std::chrono::steady_clock::now()),
+      settle_(io),
       drain_(io),
       report_(io),
       follow_(io),
@@ -150,6 +149,10 @@
   if (ops_) ops_->start(*config_.ops);
   server_.start();
   discovery_->start();
+  settle_.expires_after(span(Watch::hasWithin(watchLimits(config_))));
+  settle_.async_wait([this](const Error& error) {
+    if (!error) settle();
+  });
   if (config_.acceptFd >= 0) {
     acceptOnceReady();
     leaveLater();
@@ -186,12 +189,7 @@
 // --- From the operators ----------------------------------------------------------------------------------
 
 // The list is known, and no change of it is on its way; what was excluded was read before.
-bool Gatekeeper::readyToServe() const {
-  if (!ready_ || draining_) return false;
-  const auto now = std::chrono::steady_clock::now();
-  const auto answered = discovery_->answeredAt();
-  return lists_ > 0 || (answered && now - *answered > kFirstChange) || now - startedAt_ > kListWithin;
-}
+bool Gatekeeper::readyToServe() const { return ready() && !draining_; }
 
 std::string Gatekeeper::telemetry() const {
   const irisring::Census census = gateway_.census(clock_.now());
@@ -436,8 +434,20 @@
   held.expires = now + held.patience + (held.streamed ? kMostUpload : 0);
   if (!held.streamed) setDeadline(id, held);
   pressure_.activity();
-  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize,
-                         static_cast<double>(call.holds)});
+  const irisring::Request request{id,           call.klass, call.plan,    call.customer,
+                                  held.expires, call.units, call.setSize, static_cast<double>(call.holds)};
+  if (settled_) return gateway_.request(now, request);
+  early_.push_back(request);
+}
+
+// What the agent has counts as told from a process's first moment, and the list that the process was given
+// may be older. So nothing is sent on before the agent's first list. An agent that says nothing for as long
+// as one that is well may take is down and has nothing new: then the list as given has to do.
+void Gatekeeper::settle() {
+  if (std::exchange(settled_, true)) return;
+  settle_.cancel();
+  for (const irisring::Request& request : std::exchange(early_, {}))
+    if (held_.contains(request.id)) gateway_.request(clock_.now(), request);
 }
 
 ClassCounts& Gatekeeper::countsOf(unsigned klass) {
@@ -490,6 +500,7 @@
 void Gatekeeper::expire(RequestId id) {
   const auto found = held_.find(id);
   if (found == held_.end() || found->second.answering) return;
+  if (!settled_) return refuse(id, kEarlyRetry);
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     end->outcome.finished = false;
     gateway_.outcome(std::max(clock_.now(), found->second.expires), end->outcome);
@@ -504,6 +515,10 @@
   for (const auto& [id, held] : held_)
     if (!held.answering) ids.push_back(id);  // what has begun goes on to the end
   for (const RequestId id : ids) {
+    if (!settled_) {
+      refuse(id, kEarlyRetry);
+      continue;
+    }
     fail(id);
     gateway_.clientLeft(clock_.now(), id);
     if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
@@ -598,8 +613,8 @@
     pool_.retire(worker);
   }
   gateway_.members(clock_.now(), kind, members);
-  if (kind != ListKind::cached) ++lists_;
   ready_ = ready_ || !listed_.empty();
+  if (kind != ListKind::cached) settle();
 }
 
 // --- What the module asks for ----------------------------------------------------------------------------
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -56,7 +56,7 @@
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
   boost::asio::ip::tcp::endpoint opsAddress() const { return ops_->address(); }
-  bool ready() const override { return ready_; }
+  bool ready() const override { return ready_ && settled_; }
   std::size_t held() const { return held_.size(); }
   BackPressure& pressure() { return pressure_; }
 
@@ -102,6 +102,7 @@
   void log(const std::string& line) override;
 
   void told(const Roster& roster, irisring::ListKind kind);
+  void settle();
   irisring::Member memberOf(const Instance& instance) const;
   void ended(AttemptEnd&& end);
   void expire(irisring::RequestId id);
@@ -141,7 +142,6 @@
   std::unordered_set<irisring::WorkerId> listed_;
   std::unordered_map<irisring::RequestId, Held> held_;
   irisring::RequestId lastId_ = 0;
-  unsigned lists_ = 0;  // told by discovery
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
   Metrics metrics_;
@@ -151,10 +151,11 @@
   std::optional<OpsServer> ops_;
   std::unique_ptr<replica::ReplicaNode> replica_, retiredReplica_;
   std::unique_ptr<duty::Coordinator> coordinator_, retired_;  // retired_: gives back what it held
-  std::chrono::steady_clock::time_point startedAt_;
-  boost::asio::steady_timer drain_, report_, follow_, accept_, leave_;
+  std::vector<irisring::Request> early_;  // came before the first list; a request that has gone is skipped
+  boost::asio::steady_timer settle_, drain_, report_, follow_, accept_, leave_;
   unsigned served_ = 0, refused_ = 0, failed_ = 0;  // final answers since the last report
   bool ready_ = false;
+  bool settled_ = false;  // discovery has told, or is not there
   bool draining_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is posted
 };
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -11,6 +11,20 @@
     node->start();
   }
   void openWithWorker() { open(json::array({entry("s-1", worker.text())})); }
+  // The agent's answer to the first watch, and the list of this generation with these changes.
+  void tell(int generation, const json& changes) {
+    const std::string line = roster(generation, false, changes) + "\n";
+    std::ostringstream size;
+    size << std::hex << line.size();
+    discovery.peers[0]->send(size.str() + "\r\n" + line + "\r\n");
+  }
+  void openWithWatch() {
+    openWithWorker();
+    until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
+    discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    tell(1, json::array());
+    until([&] { return node->ready(); }, "ready");
+  }
   PeerPtr ask(const Ask& what) {
     const auto client = dial(node->address());
     client->send(what.text());
@@ -176,7 +190,7 @@
 
 // The worker says nothing at all: the final answer must not wait for it.
 TEST_F(Gate, AnswersByTheDeadlineAndGivesTheAttemptUp) {
-  openWithWorker();
+  openWithWatch();
   Ask what;
   what.klass = "order", what.deadline = "400";
   const auto client = ask(what);
@@ -270,19 +284,11 @@
 }
 
 TEST_F(Gate, AMovedWorkerIsReachedAtItsNewAddressAndADrainingOneNoMore) {
-  openWithWorker();
-  until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
-  const auto tell = [&](int generation, const json& change) {
-    const std::string line = roster(generation, false, change) + "\n";
-    std::ostringstream size;
-    size << std::hex << line.size();
-    discovery.peers[0]->send(size.str() + "\r\n" + line + "\r\n");
-  };
+  openWithWatch();
   const auto client = ask(Ask());
   untilSeen("00000000000000a1");
   worker.peers[0]->send(reply("200 OK", "old"));
   untilGot(client, "old");
-  discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   tell(2, json::array({entry("s-1", other.text())}));
   until([&] { return worker.peers[0]->ended; }, "the old connection ends");
   client->send(Ask().text());
@@ -296,6 +302,29 @@
   EXPECT_EQ(other.count("\r\n\r\n"), 1u);
 }
 
+// What the agent has counts as told from the first moment of a process, and the list that it was given may be
+// older: nothing is sent on before the agent has said what it has.
+TEST_F(Gate, SendsNothingOnBeforeTheFirstListUnlessDiscoverySaysNothing) {
+  open(json::array({entry("s-1", worker.text()), entry("s-2", other.text())}));
+  const auto client = ask(Ask());
+  const auto front = dial(node->address());
+  front->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+  untilGot(front, "HTTP/1.1 503");
+  until([&] { return node->held() == 1 && discovery.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch");
+  EXPECT_EQ(worker.peers.size() + other.peers.size(), 0u);
+  discovery.peers[0]->send("HTTP/1.1 200 OK\r\n\r\n" +
+                           roster(2, false, json::array({entry("s-1", worker.text(), "Terminating")})) +
+                           "\n");
+  until([&] { return other.count("Req-Id: ") == 1; }, "the request at the worker that stays");
+  EXPECT_EQ(worker.peers.size(), 0u);
+  EXPECT_TRUE(node->ready());
+  Gatekeeper alone(
+      io, parseConfig(configJson(discovery.text(), json::array({entry("s-1", worker.text())})).dump()));
+  alone.start();
+  EXPECT_FALSE(alone.ready());
+  until([&] { return alone.ready(); }, "ready on the list as given");
+}
+
 // What a watch does not bring counts as told some seconds later all the same, so a silent agent is asked
 // anew.
 TEST_F(Gate, AnAgentThatDoesNotAnswerIsAskedAgainInTime) {
@@ -307,8 +336,7 @@
 }
 
 TEST_F(Gate, AReloadMovesTheWatchAndKeepsWhatIsKnown) {
-  openWithWorker();
-  until([&] { return discovery.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch");
+  openWithWatch();
   Listener second(io);
   node->reload(parseConfig(configJson(second.text()).dump()));
   until([&] { return second.count("watch=1&from=1 HTTP/1.1\r\n") == 1; }, "a watch at the new address");
