End attempts that are not connected yet when their worker leaves or is excluded by hand

With a dialTimeout of 2 s or more, or news that came late itself, the first byte goes out past rules.stopSendingWithin. `WorkerPool::retire` and `quiet` closed idle connections alone.

Change: both also end what has written nothing, as a connection that could not be made: it never ran, the module tries elsewhere. The same walk serves workers that have restarted.

Test: Pool.AnAttemptWhoseConnectionIsNotUpDoesNotGoToAWorkerThatLeaves; without the change the request is written.

--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -126,6 +126,7 @@
   }
 
   bool busy() const { return busy_; }
+  bool up() const { return up_; }
   RequestId request() const { return outcome_.id; }
 
   // Whether the worker has ended or spoiled this idle connection and the read has not told yet.
@@ -434,21 +435,33 @@
   worker.retired = false;
   if (!restarted) return;
   // The process that these attempts went to is no more, whether or not its machine has said so.
-  std::vector<Shared> lost;
+  endThose([&](const Connection& connection) {
+    return connection.worker == id && connection.openedAtMs < place.startedAtMs;
+  });
+}
+
+// Attempts that have written nothing end as connections that never came up; others as resets.
+void WorkerPool::endThose(const std::function<bool(const Connection&)>& meant) {
+  std::vector<Shared> ending;
   for (auto& [request, connection] : busy_)
-    if (connection->worker == id && connection->openedAtMs < place.startedAtMs) lost.push_back(connection);
-  for (const Shared& connection : lost) {
+    if (meant(*connection)) ending.push_back(connection);
+  for (const Shared& connection : ending) {
     report(connection->stop(Result::reset));
     busy_.erase(connection->request());
     drop(*connection);
   }
 }
 
+// A connection that comes up late would be written to when nothing may go there any more.
+void WorkerPool::endUnsent(WorkerId id) {
+  endThose([&](const Connection& connection) { return connection.worker == id && !connection.up(); });
+}
+
 void WorkerPool::retire(WorkerId id) {
   const auto found = workers_.find(id);
   if (found == workers_.end()) return;
   found->second.retired = true;
-  closeIdle(found->second);
+  quiet(id);
 }
 
 void WorkerPool::retune(const Limits& limits, std::vector<std::string> reportFields) {
@@ -458,7 +471,9 @@
 
 void WorkerPool::quiet(WorkerId id) {
   const auto found = workers_.find(id);
-  if (found != workers_.end()) closeIdle(found->second);
+  if (found == workers_.end()) return;
+  closeIdle(found->second);
+  endUnsent(id);
 }
 
 void WorkerPool::resume(RequestId id) {
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -80,7 +80,8 @@
 
   // Where a worker is. Connections to an earlier address or process are dropped.
   void place(irisring::WorkerId worker, const Place& place);
-  // Nothing new goes there; its idle connections are closed. Attempts under way go on.
+  // Nothing new goes there; its idle connections are closed, and attempts whose connection is not up yet end as
+  // ones that could not connect. Attempts that are out go on.
   void retire(irisring::WorkerId worker);
 
   // Starts one attempt. `ended` is called once for it, never from within this call.
@@ -94,7 +95,7 @@
   void resume(irisring::RequestId id);
   // Changed settings, from the next connection or answer on.
   void retune(const Limits& limits, std::vector<std::string> reportFields);
-  // Closes what stands idle at this worker.
+  // Closes what stands idle at this worker, and ends attempts whose connection is not up yet.
   void quiet(irisring::WorkerId id);
   // Attempts that could not be begun for want of descriptors or memory here, since the start.
   std::uint64_t shortHere() const { return short_; }
@@ -124,6 +125,8 @@
   void keep(const Shared& connection);
   void drop(Connection& connection);
   void closeIdle(Worker& worker);
+  void endThose(const std::function<bool(const Connection&)>& meant);
+  void endUnsent(irisring::WorkerId id);
   void count(irisring::Result result) { ++stats_.results[static_cast<std::size_t>(result)]; }
 
   boost::asio::io_context& io_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -290,6 +290,24 @@
   }
 }
 
+// One that comes up late would otherwise be written to when nothing may go there any more.
+TEST_F(Pool, AnAttemptWhoseConnectionIsNotUpDoesNotGoToAWorkerThatLeaves) {
+  open({});
+  start(1);
+  pool->retire(1);
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
+  EXPECT_EQ(pool->connections(), 0u);
+  EXPECT_EQ(worker.count("Req-Id"), 0u);
+  pool->place(1, {worker.address(), 0});
+  start(2);
+  untilSeen(1);
+  pool->retire(1);  // out already: it goes on
+  worker.peers.back()->send(reply("200 OK", "done"));
+  untilEnds(2);
+  EXPECT_EQ(ends[1].outcome.result, Result::ok);
+}
+
 TEST_F(Pool, AnUnknownWorkerCannotBeReachedAndIsToldLater) {
   open({});
   pool->retire(1);
