Lab: agents whose news counts as told whether or not a watch is open; settings of a larger fleet

Need: the lab counted a drain as told only to watches that stood, so a watch that stayed away broke no rule, and its settings named just the gatekeepers that it started.

Change: what an agent has counts as told as soon as its gatekeeper can reach it; a watch that was open when the agent fell silent stays silent. `fleet.settings_for` names the fleet's size in the settings. Up to 1,024 gatekeepers and workers (300 and 1,000 before).

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -36,7 +36,7 @@
 
 json settingsFor(const Scenario& s, int me) {
   return json{{"me", me},
-              {"nInstances", s.gatekeepers},
+              {"nInstances", s.settingsFor},
               {"locality", 0},
               {"localities", s.zones},
               {"shapes", {"m"}},
--- a/tools/lab/net.cpp
+++ b/tools/lab/net.cpp
@@ -242,9 +242,17 @@
 
 void Agent::setDown(bool down) {
   down_ = down;
+  // A watch that has fallen silent stays so: it has to be opened anew.
+  if (down_) mute_.insert(watches_.begin(), watches_.end()), watches_.clear();
   if (!down_ && !untold_.empty()) tell(untold_);
 }
 
+void Agent::setHeard(bool heard) {
+  heard_ = heard;
+  if (!heard_ || down_) return;
+  for (std::size_t w = 0; w < list_.size(); ++w) toldOf(w);
+}
+
 void Agent::toldOf(std::size_t worker) {
   if (list_[worker].lifecycle == "Ready")
     judge_.drainUndone(gatekeeper_, static_cast<int>(worker));
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -73,8 +73,9 @@
   // A worker changes; watches are told at once (unless the agent is down), and drains go to the judge.
   void change(std::size_t worker, const std::string& lifecycle, double startedAtMs);
   void setDown(bool down);
-  // Whether what it says can reach its gatekeeper now: what it says meanwhile was not told.
-  void setHeard(bool heard) { heard_ = heard; }
+  // Whether its gatekeeper can reach it now. What it has counts as told from then on, whether or not a watch
+  // is open.
+  void setHeard(bool heard);
 
  private:
   struct Watch;
@@ -92,7 +93,7 @@
   long generation_ = 1;
   bool down_ = false, heard_ = true;
   std::vector<std::size_t> untold_;
-  std::set<std::shared_ptr<Watch>> watches_;
+  std::set<std::shared_ptr<Watch>> watches_, mute_;
   asio::steady_timer beat_;
 };
 
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -153,9 +153,10 @@
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
   if (const toml::table* fleet = file["fleet"].as_table()) {
-    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap", "held_sockets"});
-    s.gatekeepers = r.number(*fleet, "gatekeepers", s.gatekeepers, 1, 300);
-    s.workers = r.number(*fleet, "workers", s.workers, 1, 1000);
+    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap", "held_sockets", "settings_for"});
+    s.gatekeepers = r.number(*fleet, "gatekeepers", s.gatekeepers, 1, 1024);
+    s.workers = r.number(*fleet, "workers", s.workers, 1, 1024);
+    s.settingsFor = r.number(*fleet, "settings_for", s.settingsFor, 1, 1024);
     s.attemptsCap = r.number(*fleet, "attempts_cap", s.attemptsCap, 1, 10);
     if (const toml::node* held = fleet->get("held_sockets")) {
       if (!held->is_boolean()) r.bad(held->source(), "held_sockets is true or false");
@@ -172,6 +173,7 @@
   }
   if (gatekeepers > 0) s.gatekeepers = gatekeepers;
   if (workers > 0) s.workers = workers;
+  s.settingsFor = std::max(s.settingsFor, s.gatekeepers);
   if (const toml::table* load = file["load"].as_table()) {
     r.onlyKeys(*load, {"rate", "deadline_ms", "customers", "edit_share", "most_in_flight"});
     s.rate = r.number(*load, "rate", s.rate, 0, 20000);
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -58,6 +58,7 @@
   std::string name;
   double lengthS = 10;  // load from 0 to this
   int gatekeepers = 3, workers = 4;
+  int settingsFor = 0;  // gatekeepers that the settings name; more than are started where the fleet is larger
   std::vector<std::string> zones{"a"};  // workers are dealt round them: worker w in zones[w % size]
   // Load: open-loop Poisson arrivals.
   double rate = 50;  // requests a second over the fleet
