Miss a watch of discovery one and a half heartbeats after its last line

Need: what an agent has when it talks again counts as told in that moment, and a watch that fell silent meanwhile has to be opened anew. Missed 4.5 s after its last line, it is opened up to 4.5 s less the outage after the return: an outage of 2.5 s leaves nothing of the 2 s.

Change: kSilence 3 s, one heartbeat of 2 s and half a period (src/watch/watch.cpp). Outages under 1.1 s stay open (docs/open.md).

--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -5,9 +5,11 @@
 namespace burlwind {
 namespace {
 
-// An empty line comes every 2 s. What a silent watch misses counts as told 6 s after it fell silent: longer,
-// and a worker that leaves is sent to; shorter: one late line reopens the watch.
-constexpr Watch::Time kSilence = 4500;
+// An empty line comes every 2 s: one is half a period late. What an agent has when it begins to talk again
+// after a while counts as told in that moment, also where the watch that it had broken has not been missed
+// yet: longer, and a worker that leaves is sent to after an outage of up to this less `stopWithin`. Shorter:
+// lines that are a little late reopen the watch.
+constexpr Watch::Time kSilence = 3000;
 // An agent of one's own answers at once. When it begins to talk again, what it has counts as told in that
 // moment, and there is `stopWithin` to have it: half of that for an answer that does not come, three eighths
 // for one and a half times the longest wait, the rest for the call itself. Longer: a worker that leaves is
--- a/src/watch/watch.hpp
+++ b/src/watch/watch.hpp
@@ -23,7 +23,7 @@
   };
   struct Limits {
     Time answer = 1000;        // from connecting to the first whole line
-    Time silence = 4500;       // from one whole line to the next, heartbeats among them
+    Time silence = 3000;       // from one whole line to the next, heartbeats among them
     Time first = 50;           // mean wait before connecting anew
     Time most = 250;           // to which it doubles; each wait is a half to one and a half of the mean
     Time sharedAnswer = 2500;  // the same where discovery has turned calls away
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -98,7 +98,7 @@
           fault = m.now + 12000;
         } else {
           m.become(which < 0.75 ? Machine::Agent::silent : Machine::Agent::refusing);
-          undo = m.now + 2600 + 8000 * m.chance();
+          undo = m.now + 1200 + 8000 * m.chance();
         }
       }
       if (m.now >= change) m.change(), change = m.now + 3000 * m.chance();
