Tell operators of all members of a large fleet, where there is memory for it

Need: an answer of many lines was cut at 6 KiB, some 60 members or roster rows; no list of gatekeepers may end below 1,024.

Change: 256 KiB, 1,024 lines of the longest names. What exceeds a caller's 7 KiB is charged to the operators' part of the ledger while it is written, or the answer is a plain 400.

Test: 1,024 lines of 200 bytes come whole over a socket; with the part used up, 400; past the cap, cut and counted.

--- a/src/node/answer_lines.hpp
+++ b/src/node/answer_lines.hpp
@@ -8,7 +8,7 @@
 
 class AnswerLines {
  public:
-  static constexpr std::size_t kMost = 6 * 1024;  // bytes, within what a caller's place holds
+  static constexpr std::size_t kMost = 256 * 1024;  // bytes: 1,024 lines of the longest names
 
   explicit AnswerLines(std::string first) : out_(std::move(first)) { out_ += '\n'; }
   void add(const std::string& line) {
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -15,7 +15,9 @@
 using Error = boost::system::error_code;
 using namespace std::chrono_literals;
 
-constexpr std::size_t kCaller = 8 * 1024;  // with its line and the longest answer, which is that of telemetry
+constexpr std::size_t kCaller =
+    8 * 1024;  // with its line and telemetry; what is longer finds room or is not said
+constexpr std::size_t kWithin = 7 * 1024;  // of an answer
 constexpr auto kAcceptPause = 50ms;        // after an accept that failed, for want of descriptors as a rule
 
 }  // namespace
@@ -67,6 +69,8 @@
  private:
   void say(std::string text) {
     out_ = std::move(text);
+    if (out_.size() > kWithin && !room_.resize(kCaller + out_.size()))
+      out_ = "400 no memory for the answer now\n";
     asio::async_write(socket_, asio::buffer(out_), guard([this](const Error&, std::size_t) { finish(); }));
   }
 
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -6,12 +6,53 @@
 #include <fstream>
 
 #include "loopback.hpp"
+#include "node/answer_lines.hpp"
 #include "node/exclusions.hpp"
 #include "node/legacy.hpp"
 
 namespace burlwind::test {
 namespace {
 
+// A fleet's worth of lines: as many as the largest fleet has, or none where there is no memory for them.
+struct ManyLines : Operated {
+  std::string sharers() const override {
+    AnswerLines out("200 alive=1024");
+    for (int i = 0; i < 1024; ++i) out.add(std::string(200, 'm'));
+    return out.end();
+  }
+  bool readyToServe() const override { return true; }
+  std::string telemetry() const override { return ""; }
+  bool exclude(const std::string&) override { return false; }
+  bool include(const std::string&) override { return false; }
+  std::string duties() const override { return ""; }
+  std::string roster() const override { return ""; }
+  std::string replica() const override { return ""; }
+};
+
+TEST_F(Loopback, OperatorsAreToldOfAllMembersOfALargeFleetWhereThereIsMemory) {
+  BackPressure pressure{io, sharesOf({std::size_t{32} << 20}), Pressure::Limits{}};
+  ManyLines fleet;
+  OpsServer server(io, OpsServer::Limits{}, fleet, pressure);
+  server.start({asio::ip::address_v4::loopback(), 0});
+  const auto members = [&] {
+    const auto caller = dial(server.address());
+    caller->send("members\n");
+    until([&] { return caller->ended; }, "the end of the answer");
+    return caller->got;
+  };
+  const std::string whole = members();
+  EXPECT_EQ(std::count(whole.begin(), whole.end(), '\n'), 1026);
+  EXPECT_EQ(whole.substr(whole.size() - 4), "EOF\n");
+  auto hog = pressure.ledger().open(Account::operators);
+  std::size_t taken = 0;
+  while (hog.resize(taken + 64 * 1024)) taken += 64 * 1024;
+  EXPECT_EQ(members(), "400 no memory for the answer now\n");
+  AnswerLines endless("200");
+  for (int i = 0; i < 100000; ++i) endless.add("a line that is one of many");
+  EXPECT_LT(endless.end().size(), AnswerLines::kMost + 100);
+  EXPECT_NE(endless.end().find(" more\nEOF\n"), std::string::npos);
+}
+
 class Ops : public Loopback {
  protected:
   void SetUp() override {
