Say what was wrong with a list on a line of its own; lab: start processes with the list as known

Need: a line on a malformed list could be left out for one on a watch that had just ended. The lab's processes started without a known list, so none could serve on it while discovery was down, nor on one that was old.

The lab gives each start the list as before the first step.

Tests: five lists that cannot hold (odd lifecycle, an id twice, no list, no instances, older than what is known) change nothing, bring nobody back, are asked for whole each time, with one line; 1,024 workers, indented, in pieces, of 1,024 gatekeepers within 32 MB; a worker that drains, goes and is back under its id elsewhere; a whole list without a worker that has an attempt out.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -189,10 +189,9 @@
     parser_->get().body().clear();
     stats_.longestLine = std::max(stats_.longestLine, line_.size());
     try {
-      if (!takeLists()) return lost("older than what is known, asking for the whole list");
+      if (!takeLists()) return turnDown("list: older than what is known");
     } catch (const std::runtime_error& wrong) {
-      news_.distrust();  // the whole list mends what this one would have changed
-      return lost(wrong.what());
+      return turnDown(wrong.what());
     }
     if (stopped_) return;
     if (line_.empty())
@@ -231,6 +230,13 @@
     return good;
   }
 
+  // The whole list mends what this one would have changed.
+  void turnDown(const char* why) {
+    news_.distrust();
+    badLists_.say(std::string(why) + "; asking for the whole one");
+    act(watch_.lost(now()));
+  }
+
   void lost(const char* why) {
     say(why);
     act(watch_.lost(now()));
@@ -252,7 +258,7 @@
   beast::flat_buffer in_;
   std::string out_, line_;
   std::optional<http::response_parser<http::string_body>> parser_;  // while there is a connection
-  QuietLog log_{"discovery", kSayEvery};
+  QuietLog log_{"discovery", kSayEvery}, badLists_{"discovery", kSayEvery};
   Stats stats_;
   Watch::Time armedFor_ = 0;
   unsigned round_ = 0, turn_ = 0;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -12,8 +12,8 @@
   }
   void openWithWorker() { open(json::array({entry("s-1", worker.text())})); }
   // The agent's answer to the first watch, and the list of this generation with these changes.
-  void tell(int generation, const json& changes) {
-    const std::string line = roster(generation, false, changes) + "\n";
+  void tell(int generation, const json& changes, bool whole = false) {
+    const std::string line = roster(generation, whole, changes) + "\n";
     std::ostringstream size;
     size << std::hex << line.size();
     discovery.peers[0]->send(size.str() + "\r\n" + line + "\r\n");
@@ -300,6 +300,68 @@
   client->send(Ask().text());
   untilGot(client, "HTTP/1.1 429");
   EXPECT_EQ(other.count("\r\n\r\n"), 1u);
+  tell(4, json::array({entry("s-1", other.text(), "Gone")}));
+  tell(5, json::array({entry("s-1", worker.text())}));  // back under its id, elsewhere
+  const auto next = ask(Ask());
+  until([&] { return worker.peers.back()->count("\r\n\r\n") == 1 && !worker.peers.back()->ended; },
+        "it serves again");
+  tell(6, json::array({entry("s-2", other.text())}), true);  // the whole list, without it
+  ask(Ask());
+  until([&] { return other.count("\r\n\r\n") == 2; }, "the other worker");
+  worker.peers.back()->send(reply("200 OK", "out already"));
+  untilGot(next, "out already");
+}
+
+// What cannot be read changes nothing and brings nobody back; the whole list is asked for, and one line says
+// so.
+TEST_F(Gate, AMalformedListChangesNothingAndTheWholeOneIsAskedFor) {
+  openWithWatch();
+  tell(2, json::array({entry("s-1", worker.text(), "Terminating"), entry("s-2", other.text())}));
+  testing::internal::CaptureStderr();
+  discovery.peers[0]->end();
+  until([&] { return discovery.count("from=2 HTTP/1.1\r\n") == 1; }, "the next watch");
+  std::size_t bad = 0;
+  for (const std::string& line :
+       {roster(1, true, json::array({entry("s-1", worker.text())})), std::string("[]"),
+        roster(3, false, json::array({entry("s-1", worker.text(), "Resting")})),
+        roster(3, false, json::array({entry("s-1", worker.text()), entry("s-1", worker.text())})),
+        std::string("{\"generation\":3}")}) {
+    discovery.peers.back()->send("HTTP/1.1 200 OK\r\n\r\n" + line + "\n");
+    ++bad;
+    until([&] { return discovery.count("watch=1 HTTP/1.1\r\n") == bad; }, "the whole list is asked for");
+  }
+  const std::string said = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 2) << said;  // of the watch's end, of the first list
+  EXPECT_NE(said.find("list: older than what is known"), std::string::npos);
+  ask(Ask());
+  until([&] { return other.count("Req-Id: ") == 1; }, "the worker that stays");
+  EXPECT_EQ(worker.count("Req-Id: "), 0u);
+}
+
+// The largest fleet in the smallest memory: 1,024 workers, indented and in pieces, of 1,024 gatekeepers.
+TEST_F(Gate, TakesAListOfAThousandWorkersInTheSmallestMemory) {
+  json file = configJson(discovery.text());
+  file["limits"]["memory_mb"] = 32;
+  file["settings"]["nInstances"] = 1024;
+  file["ops"] = "127.0.0.1:0";
+  node.emplace(io, parseConfig(file.dump()));
+  node->start();
+  until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
+  json all = json::array();
+  for (int i = 0; i < 1024; ++i)
+    all.push_back(entry("s-" + std::string(24, 'x') + std::to_string(i), worker.text()));
+  const std::string list = json::parse(roster(1, true, all)).dump(4) + "\n";
+  EXPECT_GT(list.size(), 250000u);
+  discovery.peers[0]->send("HTTP/1.1 200 OK\r\n\r\n");
+  for (std::size_t from = 0; from < list.size(); from += 50001)
+    discovery.peers[0]->send(list.substr(from, 50001));
+  until([&] { return node->ready(); }, "ready");
+  const auto caller = dial(node->opsAddress());
+  caller->send("telemetry\n");
+  until([&] { return caller->ended; }, "the figures");
+  EXPECT_TRUE(caller->has("svc.hosts_listed:1024|g\n"));
+  ask(Ask());
+  until([&] { return worker.count("Req-Id: ") == 1; }, "a request at a worker");
 }
 
 // What the agent has counts as told from the first moment of a process, and the list that it was given may be
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -204,12 +204,14 @@
     }
     char seed[17];
     std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
-    json file{{"name", name},
-              {"listen", "127.0.0.1:" + std::to_string(gk.port)},
-              {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
-              {"seed", seed},
-              {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
-              {"settings", settingsFor(s_, g)}};
+    json file{
+        {"name", name},
+        {"listen", "127.0.0.1:" + std::to_string(gk.port)},
+        {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
+        {"seed", seed},
+        {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
+        {"known", json::parse(agents_[g]->listJson(true, {}))},  // as before the first step, at each start
+        {"settings", settingsFor(s_, g)}};
     if (s_.replica) {
       json peers = json::object();
       for (int i = 1; i < s_.gatekeepers; ++i) {
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -73,6 +73,8 @@
   // A worker changes; watches are told at once (unless the agent is down), and drains go to the judge.
   void change(std::size_t worker, const std::string& lifecycle, double startedAtMs);
   void setDown(bool down);
+  // In discovery's form: the whole list, or these entries of it.
+  std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
   // Whether its gatekeeper can reach it now. What it has counts as told from then on, whether or not a watch
   // is open.
   void setHeard(bool heard);
@@ -81,7 +83,6 @@
   struct Watch;
   void toldOf(std::size_t worker);
   void accept();
-  std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
   void tell(const std::vector<std::size_t>& changed);
   asio::io_context& io_;
   int gatekeeper_;
