Test that a store switched off while the process drains ends nothing early

With the guard in Gatekeeper::reload taken out the test fails (the coordinator is gone while the drain's end waits for it).

--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -231,6 +231,23 @@
   EXPECT_TRUE(shows("svc.reconfig_failed:1|c"));
 }
 
+// SIGTERM, then SIGHUP with a file that names no store any more: the end still waits for what it had begun.
+TEST_F(Ops, AStoreThatIsSwitchedOffWhileItDrainsEndsNothingEarly) {
+  Listener store(io);
+  json file = configJson(discovery.text(), json::array({entry("s-1", worker.text())}));
+  file["coordination"] = {
+      {"store", store.text()}, {"prefix", "wingslip"}, {"ttl_ms", 10000}, {"lock_delay_ms", 0}};
+  node.emplace(io, parseConfig(file.dump()));
+  node->start();
+  until([&] { return store.count("\r\n\r\n") > 0; }, "a call at the store");
+  bool done = false;
+  node->drain([&] { done = true; });
+  file.erase("coordination");
+  node->reload(parseConfig(file.dump()));
+  EXPECT_NE(node->config().coordination, std::nullopt);
+  until([&] { return done; }, "the end of the drain");
+}
+
 TEST_F(Ops, WhatIsLeftForTheNextProcessIsReadBackOrNotThere) {
   EXPECT_FALSE(inherit(folder));
   leave(folder, {1e12, 0.01});
