--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -80,8 +80,8 @@
 
   // Where a worker is. Connections to an earlier address or process are dropped.
   void place(irisring::WorkerId worker, const Place& place);
-  // Nothing new goes there; its idle connections are closed, and attempts whose connection is not up yet end as
-  // ones that could not connect. Attempts that are out go on.
+  // Nothing new goes there; its idle connections are closed, and attempts whose connection is not up yet end
+  // as ones that could not connect. Attempts that are out go on.
   void retire(irisring::WorkerId worker);
 
   // Starts one attempt. `ended` is called once for it, never from within this call.
