Use the back-pressure clock in the watch's driver, and distrust a list in one place

Need: discovery.cpp wrote BackPressure::now() again, and a list that News had turned down was distrusted a second time. Change: the one clock; the driver distrusts only what could not be read at all. Behaviour as before.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -23,10 +23,6 @@
 
 constexpr auto kSayEvery = std::chrono::seconds(5);
 
-Watch::Time now() {
-  return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
-}
-
 // Rounded up: a wait that ends a fraction too early would begin again without end on a clock that stands.
 Clock::time_point at(Watch::Time ms) {
   using std::chrono::microseconds;
@@ -59,14 +55,14 @@
     if (known.generation >= 0) news_.take(known);
   }
 
-  void open() { act(watch_.open(now())); }
+  void open() { act(watch_.open(BackPressure::now())); }
 
   void moveTo(const tcp::endpoint& agent, const Watch::Limits& limits) {
     if (stopped_) return;
     watch_.retune(limits);
     if (agent == agent_) return;
     agent_ = agent;
-    act(watch_.open(now()));
+    act(watch_.open(BackPressure::now()));
   }
 
   Stats takeStats() {
@@ -97,7 +93,7 @@
         arm();
         return socket_.async_connect(agent_, guard([this](const Error& error, std::size_t) {
                                        if (error) return lost("cannot connect");
-                                       act(watch_.up(now()));
+                                       act(watch_.up(BackPressure::now()));
                                      }));
       case Watch::Act::ask:
         return ask();
@@ -116,7 +112,7 @@
       if (error || turn != turn_ || stopped_) return;
       armed_ = false;
       const bool waited = parser_.has_value();
-      const Watch::Act what = watch_.look(now());
+      const Watch::Act what = watch_.look(BackPressure::now());
       if (waited && what == Watch::Act::close) say("silent");
       act(what);
     });
@@ -183,7 +179,7 @@
     if (error || (!done && in_.size() > kMostHeader)) return lost("odd answer");
     if (parser_->is_header_done() && parser_->get().result() != http::status::ok) {
       say("turned away");
-      return act(watch_.turnedAway(now()));
+      return act(watch_.turnedAway(BackPressure::now()));
     }
     line_ += parser_->get().body();
     parser_->get().body().clear();
@@ -191,6 +187,7 @@
     try {
       if (!takeLists()) return turnDown("list: older than what is known");
     } catch (const std::runtime_error& wrong) {
+      news_.distrust();
       return turnDown(wrong.what());
     }
     if (stopped_) return;
@@ -215,7 +212,7 @@
       Roster list = parseRoster(*object);
       ++stats_.lists;
       if (!(good = news_.take(list))) break;
-      watch_.line(now());
+      watch_.line(BackPressure::now());
       if (piled)
         addTo(*piled, std::move(list));
       else
@@ -224,7 +221,7 @@
       told_(*std::exchange(piled, std::nullopt));
       if (stopped_) return true;
     }
-    if (objects_.heartbeats() > 0 && good) watch_.line(now());
+    if (objects_.heartbeats() > 0 && good) watch_.line(BackPressure::now());
     if (piled) told_(*piled);
     if (good && !stopped_) line_.erase(0, objects_.drop());
     return good;
@@ -232,14 +229,13 @@
 
   // The whole list mends what this one would have changed.
   void turnDown(const char* why) {
-    news_.distrust();
     badLists_.say(std::string(why) + "; asking for the whole one");
-    act(watch_.lost(now()));
+    act(watch_.lost(BackPressure::now()));
   }
 
   void lost(const char* why) {
     say(why);
-    act(watch_.lost(now()));
+    act(watch_.lost(BackPressure::now()));
   }
 
   void say(const char* why) { log_.say(std::string(why) + ", trying again"); }
