Client side: keep idle connections in an order, ask the kernel of one

At the limit of connections ClientServer::oldestIdle (client_server.cpp) walked all connections and asked the kernel of nearly each whether bytes wait; hasRoom and dropIdle called it for each accept, and accept() runs again whenever a connection turns idle or ends. One turn of the loop handles up to 128 ready sockets, so it took seconds, and the watch on discovery, read by the same loop, was read late. The loop's lag read 0 ms all along, since only requests and answers started a sample and a posted handler does not wait for the sockets that the loop finds ready next. Change: idle connections stand in an intrusive list, least recently used first; the kernel is asked only of the one about to be closed, and one on which bytes wait leaves the list until its handler has run. hasRoom asks nothing. The side lane keeps an order too. One accept a turn of the loop, and a bound on accepts when accepting stops. The loop's lag is the lateness of a timer that is due at once; a connection that comes starts a sample as well, and a single sample of an interval or more counts as a queue that has stood that long.

--- a/src/node/back_pressure.cpp
+++ b/src/node/back_pressure.cpp
@@ -18,7 +18,7 @@
 using Error = boost::system::error_code;
 using namespace std::chrono_literals;
 
-constexpr double kProbeEvery = 10;     // ms between two samples of the loop's delay
+constexpr double kLagEvery = 10;       // ms between two samples of the loop's lag
 constexpr auto kTick = 50ms;           // while a stage is on
 constexpr auto kLookTick = 250ms;      // while only paused reads are watched
 constexpr double kLookEvery = 250;     // ms between looks at whether a paused peer has left
@@ -48,14 +48,14 @@
 }
 
 BackPressure::BackPressure(asio::io_context& io, const Ledger::Shares& shares, const Pressure::Limits& limits)
-    : io_(io), ledger_(shares), pressure_(limits), tick_(io) {
+    : io_(io), ledger_(shares), pressure_(limits), tick_(io), lagTimer_(io) {
   ledger_.watch(
       limits.memory.low, limits.memory.high, [this] { evaluateSoon(); }, [this] { wakeSoon(); });
   places_.read(WaitAt::loop, [this](double) {
     Places::Figures out;
-    out.waiting = probing_;
-    out.oldest = delay_;
-    out.most = static_cast<std::size_t>(mostDelay_);
+    out.waiting = measuring_;
+    out.oldest = lag_;
+    out.most = static_cast<std::size_t>(mostLag_);
     return out;
   });
 }
@@ -73,25 +73,32 @@
 }
 
 void BackPressure::activity() {
-  if (!probing_ && now() - probedAt_ >= kProbeEvery) probe();
+  if (!measuring_ && now() - lagDueAt_ >= kLagEvery) measureLag();
 }
 
-// A handler behind all that are ready: the time until its turn is the age of the loop's own queue.
-void BackPressure::probe() {
-  probing_ = true;
-  probedAt_ = now();
-  asio::post(io_, [this, alive = alive_] {
-    if (!*alive) return;
-    probing_ = false;
+// A timer that is due at once: when it runs, the handlers that were ready have run, and those of the sockets
+// that the loop then found ready as well. A handler that is only put behind the ready ones would not see what
+// the loop spends on new sockets.
+void BackPressure::measureLag() {
+  measuring_ = true;
+  lagDueAt_ = now();
+  lagTimer_.expires_after(0ms);
+  lagTimer_.async_wait([this](const Error& error) {
+    if (error) return;
+    measuring_ = false;
     const double at = now();
-    delay_ = at - probedAt_;
-    mostDelay_ = std::max(mostDelay_, delay_);
-    const bool calm = pressure_.calm();
-    pressure_.loopDelay(at, delay_);
-    if (!calm || !pressure_.calm()) evaluate();
+    takeLag(at, at - lagDueAt_);
   });
 }
 
+void BackPressure::takeLag(double at, double lag) {
+  lag_ = lag;
+  mostLag_ = std::max(mostLag_, lag);
+  const bool wasCalm = pressure_.calm();
+  pressure_.loopDelay(at, lag);
+  if (!wasCalm || !pressure_.calm()) evaluate();
+}
+
 void BackPressure::noteDescriptors() {
   const bool full = descriptors_ && descriptors_() >= pressure_.limits().descriptors.high;
   if (full != fewDescriptors()) evaluateSoon();
@@ -197,7 +204,7 @@
     if (error) return;
     ticking_ = false;
     if (!pressure_.calm()) {
-      if (!probing_) probe();
+      if (!measuring_) measureLag();
       evaluate();
     }
     if (now() - lookedAt_ >= kLookEvery) {
--- a/src/node/back_pressure.hpp
+++ b/src/node/back_pressure.hpp
@@ -68,7 +68,7 @@
   // Called when there may be room for a connection again.
   void whenRoom(std::function<void()> retry) { room_ = std::move(retry); }
 
-  // A request or an answer has come: measures, now and then, how long the loop takes to get to a handler.
+  /// A connection, a request or an answer has come: measures the loop's lag, at most every 10 ms.
   void activity();
   // A connection has turned busy or ended.
   void noteDescriptors();
@@ -90,7 +90,8 @@
  private:
   using List = boost::intrusive::list<Paused, boost::intrusive::constant_time_size<false>>;
 
-  void probe();
+  void measureLag();
+  void takeLag(double at, double lag);
   void evaluateSoon();
   void evaluate();
   void wakeSoon();
@@ -108,11 +109,11 @@
   std::function<void()> room_;
   std::array<List, kAccounts> paused_;
   List watched_;
-  boost::asio::steady_timer tick_;
+  boost::asio::steady_timer tick_, lagTimer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  bool ticking_ = false, probing_ = false, evaluating_ = false, waking_ = false, inWake_ = false;
-  double probedAt_ = 0, lookedAt_ = 0;
-  double delay_ = 0, mostDelay_ = 0;  // of the loop
+  bool ticking_ = false, measuring_ = false, evaluating_ = false, waking_ = false, inWake_ = false;
+  double lagDueAt_ = 0, lookedAt_ = 0;
+  double lag_ = 0, mostLag_ = 0;  // of the loop, ms
   Stage toldStage_ = Stage::none;
   double toldShare_ = 0;
 };
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -43,7 +43,9 @@
 }  // namespace
 
 // One client connection: one request at a time, in the order in which they come.
-class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
+class ClientServer::Connection : public Asker,
+                                 public ConnectionOrder::Entry,
+                                 public std::enable_shared_from_this<Connection> {
   template <class Handler>
   auto guard(Handler handler) {
     return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
@@ -148,10 +150,7 @@
   }
 
   bool idle() const { return state_ == State::reading && !begun(); }
-  // May go at once: idle, and nothing has come on it; or told its end while it was idle.
-  bool spare() { return restEnded_ || (idle() && !unread()); }
   bool inLane() const { return lane_; }
-  bool busy() const { return !idle() && state_ != State::lingering; }
   Clock::time_point openedAt() const { return openedAt_; }
   Clock::time_point idleSince() const { return idleSince_; }
 
@@ -167,6 +166,7 @@
   // Ends it and tells nobody.
   void abandon() {
     state_ = State::closed;
+    leaveOrder();
     pull_ = nullptr;
     taken_ = nullptr;
     waiting_.leave();
@@ -195,7 +195,7 @@
   // What crosses this is not heard, and its client sends it once more on another connection.
   void endRest() {
     if (first_) return close();  // nothing was ever written that a reset could take back
-    restEnded_ = true;
+    if (!lane_) server_.ending_.append(*this);
     linger();
   }
 
@@ -277,6 +277,13 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
     arm(first_ ? server_.limits_.firstWithin : server_.limits_.idleFor);
+    if (in_.size() == 0) return enterIdleOrder();
+    server_.accept();
+  }
+
+  // It may be closed from here on where another connection needs the room.
+  void enterIdleOrder() {
+    if (!lane_) server_.idle_.append(*this);
     server_.accept();
   }
 
@@ -398,8 +405,10 @@
 
   void parse() {
     if (!begun_) skipBlankLines();
+    if (idle() && !inOrder() && !lane_) return enterIdleOrder();  // nothing but blank lines had come
     if (!begun_ && in_.size() > 0) {
       begun_ = true;
+      if (!lane_) leaveOrder();
       wait(WaitAt::halfRead);
       server_.pressure_.noteDescriptors();
       if (!first_) arm(server_.limits_.wholeWithin);
@@ -498,7 +507,8 @@
   void leaveLane() {
     if (!std::exchange(lane_, false)) return;
     --server_.inLane_;
-    if (server_.connections_.size() - server_.inLane_ > server_.mostUsual()) server_.dropIdle();
+    leaveOrder();
+    if (server_.connections_.size() - server_.inLane_ > server_.mostUsual()) server_.closeLeastRecentlyUsed();
   }
 
   void sayReady(http::verb method) {
@@ -609,7 +619,6 @@
   irisring::RequestId id_ = 0;
   std::size_t discarded_ = 0;
   bool first_ = true;       // no whole request has come yet
-  bool restEnded_ = false;  // while it was idle
   bool begun_ = false;      // a request's first byte has come
   bool continued_ = false;  // 100 Continue was considered
   bool last_ = false;       // the connection ends with the next answer
@@ -679,7 +688,7 @@
 // the next one to turn idle or end does.
 bool ClientServer::hasRoom() const {
   if (pressure_.ledger().room(Account::clients) < kConnection) return false;
-  return connections_.size() - inLane_ < mostUsual() || oldestIdle();
+  return connections_.size() - inLane_ < mostUsual() || !idle_.empty() || !ending_.empty();
 }
 
 void ClientServer::accept() {
@@ -694,34 +703,48 @@
     lane_.cancel();
     laneOpen_ = false;
   }
-  if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
+  if (waiting_) return admitWaiting();
   takeNext();
 }
 
+void ClientServer::admitWaiting() {
+  tcp::socket socket = *std::exchange(waiting_, std::nullopt);
+  const bool full = connections_.size() - inLane_ >= mostUsual();
+  if (!full || closeLeastRecentlyUsed()) return add(std::move(socket));
+  // Requests had come on all that were idle, so that none is any more and there is no room.
+  waiting_ = std::move(socket);
+  accept();
+}
+
 void ClientServer::takeNext() {
   if (accepting_) return;
   if (!acceptor_.is_open()) return;
   accepting_ = true;
   // A connection is taken from the machine's queue only in the handler, so that none is in between when
-  // accepting stops.
+  // accepting stops. One accept a turn of the loop: however many clients wait in that queue, all other
+  // sockets and timers that are ready are served between two of them.
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](const Error& waited) {
     if (waited == asio::error::operation_aborted) return;
     accepting_ = false;
     if (!open_ || waiting_) return;
+    pressure_.activity();
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
     if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
         error == asio::error::no_buffer_space || error == asio::error::no_memory)
       return acceptLater();
-    if (!error) waiting_ = std::move(socket);
+    if (!error) {
+      ++stats_.accepted;
+      waiting_ = std::move(socket);
+    }
     accept();
   });
 }
 
 // Out of descriptors: the connection stays in the machine's queue and would be reported again at once.
 void ClientServer::acceptLater() {
-  dropIdle();
+  closeLeastRecentlyUsed();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](const Error& error) {
     if (!error) accept();
@@ -729,9 +752,8 @@
 }
 
 void ClientServer::add(tcp::socket socket) {
-  if (connections_.size() - inLane_ >= mostUsual()) dropIdle();
   auto room = pressure_.ledger().open(Account::clients);
-  if (!room.resize(kConnection)) dropIdle();
+  if (!room.resize(kConnection)) closeLeastRecentlyUsed();
   if (!room.resize(kConnection))
     return;  // asked for before: only while draining, when there is no other place
   room.fix();
@@ -771,6 +793,7 @@
       std::make_shared<Connection>(*this, *std::exchange(waiting_, std::nullopt), std::move(room), true);
   ++inLane_;
   connections_.insert(connection);
+  inLaneOrder_.append(*connection);
   connection->start();
 }
 
@@ -778,10 +801,8 @@
 bool ClientServer::makeLaneRoom() {
   refillLane();
   if (!laneRooms_.empty()) return true;
-  if (inLane_ == 0) return false;
-  std::shared_ptr<Connection> oldest;
-  for (const auto& connection : connections_)
-    if (connection->inLane() && (!oldest || connection->openedAt() < oldest->openedAt())) oldest = connection;
+  const auto oldest = static_cast<Connection*>(inLaneOrder_.oldest());
+  if (!oldest) return false;
   const auto until = oldest->openedAt() + limits_.laneLeast;
   if (Clock::now() < until) {
     lane_.expires_at(until);
@@ -812,8 +833,11 @@
 
 void ClientServer::trimIdle() {
   const auto before = Clock::now() - limits_.idleLeast;
-  for (const auto& connection : std::vector(connections_.begin(), connections_.end()))
-    if (connection->idle() && connection->idleSince() < before && connection->spare()) connection->endRest();
+  while (const auto oldest = static_cast<Connection*>(idle_.oldest())) {
+    if (oldest->idleSince() >= before) return;
+    oldest->leaveOrder();
+    if (!oldest->unread()) oldest->shared_from_this()->endRest();
+  }
 }
 
 void ClientServer::remove(const std::shared_ptr<Connection>& connection) {
@@ -825,28 +849,31 @@
   if (connections_.empty() && !acceptor_.is_open() && done_) done_();
 }
 
-std::shared_ptr<ClientServer::Connection> ClientServer::oldestIdle() const {
-  std::shared_ptr<Connection> oldest;
-  for (const auto& connection : connections_)
-    if (!connection->inLane() && (!oldest || connection->idleSince() < oldest->idleSince()) &&
-        connection->spare())
-      oldest = connection;
-  return oldest;
-}
-
-void ClientServer::dropIdle() {
-  if (const auto oldest = oldestIdle()) oldest->close();
+// One on which bytes have come meanwhile leaves the order: its handler, which is due, puts it back where they
+// are no request. So the kernel is asked of each connection once for each time that it turns idle.
+bool ClientServer::closeLeastRecentlyUsed() {
+  if (const auto ending = static_cast<Connection*>(ending_.oldest())) {
+    ending->close();
+    return true;
+  }
+  while (const auto oldest = static_cast<Connection*>(idle_.oldest())) {
+    oldest->leaveOrder();
+    if (oldest->unread()) continue;
+    oldest->close();
+    return true;
+  }
+  return false;
 }
 
 void ClientServer::stopAccepting() {
   open_ = false;
-  if (waiting_) add(*std::exchange(waiting_, std::nullopt));
-  while (config_.acceptFd < 0) {
+  if (waiting_) addAtStop(*std::exchange(waiting_, std::nullopt));
+  for (int left = config_.acceptFd < 0 ? tcp::acceptor::max_listen_connections : 0; left > 0; --left) {
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
     if (error) break;
-    add(std::move(socket));
+    addAtStop(std::move(socket));
   }
   Error ignored;
   acceptor_.close(ignored);
@@ -855,6 +882,12 @@
   noRoom_.leave();
 }
 
+// There is no other place for it any more, so that it is taken over the limit where none is idle.
+void ClientServer::addAtStop(tcp::socket socket) {
+  if (connections_.size() - inLane_ >= mostUsual()) closeLeastRecentlyUsed();
+  add(std::move(socket));
+}
+
 void ClientServer::finishUp() {
   for (const auto& connection : std::vector(connections_.begin(), connections_.end())) connection->finishUp();
 }
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -17,6 +17,7 @@
 
 #include "node/back_pressure.hpp"
 #include "node/call.hpp"
+#include "node/connection_order.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -99,6 +100,7 @@
 
   // What happened since the last look, for the service log.
   struct Stats {
+    unsigned accepted = 0;         // connections taken from the kernel's queue
     unsigned rejected = 0;         // requests answered from here: malformed, too large, too slow
     std::size_t mostBuffered = 0;  // bytes of one connection read and not yet understood
   };
@@ -134,6 +136,8 @@
  private:
   class Connection;
 
+  /// Whether one more connection may be accepted: below the limit, or some connection is idle. Asks nothing
+  /// of the kernel.
   bool hasRoom() const;
   std::size_t mostUsual() const { return limits_.connections - limits_.lane(); }
   void accept();
@@ -144,10 +148,12 @@
   bool makeLaneRoom();
   irisring::Time turnedAwayFor() const;
   void acceptLater();
+  void admitWaiting();
   void add(boost::asio::ip::tcp::socket socket);
+  void addAtStop(boost::asio::ip::tcp::socket socket);
   void remove(const std::shared_ptr<Connection>& connection);
-  std::shared_ptr<Connection> oldestIdle() const;
-  void dropIdle();
+  /// Closes the connection that has been idle longest. False: none is idle.
+  bool closeLeastRecentlyUsed();
 
   const Config& config_;
   const Limits limits_;
@@ -156,6 +162,9 @@
   boost::asio::steady_timer pause_, lane_;
   BackPressure& pressure_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
+  ConnectionOrder idle_;    // without a request, least recently used first
+  ConnectionOrder ending_;  // told their end while they were idle; closed first where room is needed
+  ConnectionOrder inLaneOrder_;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   Places::Waiting noRoom_;                               // since when there is none
   std::size_t inLane_ = 0;
--- a/src/pressure/pressure.cpp
+++ b/src/pressure/pressure.cpp
@@ -43,7 +43,7 @@
   const Time least = seen.stage == Stage::none ? limits_.target : kLowOfTarget * limits_.target;
   if (delay >= least && !seen.over) seen.above = now;
   seen.over = seen.passed = delay >= least;
-  const Time stood = seen.over ? now - seen.above : 0;
+  const Time stood = seen.over ? std::max(now - seen.above, delay) : 0;  // a late sample was due long ago
   seen.stage = stood >= 2 * limits_.interval ? Stage::shed
                : stood >= limits_.interval   ? Stage::slow
                                              : Stage::none;
