Rename the side lane to overflow connections, the usual term

Need: the name told nothing of what it is: a few connections past the usual limit on which peers are heard as far as their header and turned away.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -48,7 +48,7 @@
   http::response<http::string_body> message(answer.status, 11, answer.body);
   if (!answer.contentType.empty()) message.set(http::field::content_type, answer.contentType);
   if (answer.retryAfter > 0) message.set(http::field::retry_after, seconds(answer.retryAfter));
-  last_ = last_ || server_.draining_ || lane_ || server_.pressure_.fewDescriptors() ||
+  last_ = last_ || server_.draining_ || overflow_ || server_.pressure_.fewDescriptors() ||
           (server_.pressure_.slow() && !bodyDone_);
   message.keep_alive(!last_);
   message.prepare_payload();
@@ -148,7 +148,7 @@
 
 void ClientServer::Connection::endRest() {
   if (first_) return close();  // nothing was ever written that a reset could take back
-  if (!lane_) server_.ending_.append(*this);
+  if (!overflow_) server_.ending_.append(*this);
   linger();
 }
 
@@ -223,7 +223,7 @@
 }
 
 void ClientServer::Connection::enterIdleOrder() {
-  if (!lane_) server_.idle_.append(*this);
+  if (!overflow_) server_.idle_.append(*this);
   server_.accept();
 }
 
@@ -336,10 +336,10 @@
 
 void ClientServer::Connection::parse() {
   if (!begun_) skipBlankLines();
-  if (idle() && !inOrder() && !lane_) return enterIdleOrder();  // nothing but blank lines had come
+  if (idle() && !inOrder() && !overflow_) return enterIdleOrder();  // nothing but blank lines had come
   if (!begun_ && in_.size() > 0) {
     begun_ = true;
-    if (!lane_) leaveOrder();
+    if (!overflow_) leaveOrder();
     wait(WaitAt::halfRead);
     server_.pressure_.noteDescriptors();
     if (!first_) arm(server_.limits_.wholeWithin);
@@ -398,7 +398,7 @@
   version_ = message.version();
   auto call = readCall(message, server_.config_);
   if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
-  if (lane_ && !server_.hasRoom()) return noRoom(WaitAt::noRoom);
+  if (overflow_ && !server_.hasRoom()) return noRoom(WaitAt::noRoom);
   Call& found = std::get<Call>(call);
   found.whole = false;
   found.holds = cost(2 * kStreamStep) + requestBytes_;  // twice: here, and on its way to the worker
@@ -415,7 +415,7 @@
   if (message.target() == "/health/ready") return sayReady(message.method());
   auto call = readCall(message, server_.config_);
   if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
-  if (lane_ && !server_.hasRoom()) {
+  if (overflow_ && !server_.hasRoom()) {
     server_.holder_.turnedAway(std::get<Call>(call).klass);
     turnAway(WaitAt::noRoom);
     return reject(kNoRoom, server_.turnedAwayFor());
@@ -425,18 +425,19 @@
 }
 
 void ClientServer::Connection::hold(const Call& call, ClientMessage&& message) {
-  leaveLane();
+  leaveOverflow();
   state_ = State::held;
   wait(WaitAt::held);
   id_ = server_.holder_.nextId();
   server_.holder_.take(id_, call, std::move(message), shared_from_this());
 }
 
-void ClientServer::Connection::leaveLane() {
-  if (!std::exchange(lane_, false)) return;
-  --server_.inLane_;
+void ClientServer::Connection::leaveOverflow() {
+  if (!std::exchange(overflow_, false)) return;
+  --server_.overflowCount_;
   leaveOrder();
-  if (server_.connections_.size() - server_.inLane_ > server_.mostUsual()) server_.closeLeastRecentlyUsed();
+  if (server_.connections_.size() - server_.overflowCount_ > server_.mostUsual())
+    server_.closeLeastRecentlyUsed();
 }
 
 void ClientServer::Connection::sayReady(http::verb method) {
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -43,11 +43,11 @@
   }
 
  public:
-  // One in the lane is on its way out: its header is heard, and it is turned away.
-  Connection(ClientServer& server, Socket socket, Ledger::Charge room, bool lane)
+  /// With `overflow` its header is heard, and it is turned away.
+  Connection(ClientServer& server, Socket socket, Ledger::Charge room, bool overflow)
       : server_(server),
         room_(std::move(room)),
-        lane_(lane),
+        overflow_(overflow),
         socket_(std::move(socket)),
         timer_(socket_.get_executor()) {}
 
@@ -61,7 +61,7 @@
   void cut() override;
   void pull(TakePiece take) override;
   bool idle() const { return state_ == State::reading && !begun(); }
-  bool inLane() const { return lane_; }
+  bool isOverflow() const { return overflow_; }
   Clock::time_point openedAt() const { return openedAt_; }
   Clock::time_point idleSince() const { return idleSince_; }
 
@@ -143,7 +143,7 @@
   void hold(const Call& call, ClientMessage&& message);
 
   // There is room after all.
-  void leaveLane();
+  void leaveOverflow();
   void sayReady(http::verb method);
 
   // An answer from here: the request never reaches the holder.
@@ -168,7 +168,7 @@
   BackPressure::Paused paused_;
   std::size_t requestBytes_ = 0;  // come of the request and not yet given away
   std::size_t passed_ = 0;        // of these, at the worker's side and not yet written
-  bool lane_;
+  bool overflow_;
   const Clock::time_point openedAt_ = Clock::now();
   Socket socket_;
   asio::steady_timer timer_;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -27,7 +27,7 @@
       holder_(holder),
       acceptor_(io),
       pause_(io),
-      lane_(io),
+      overflowTimer_(io),
       pressure_(pressure),
       chance_(config.seed ^ 0x5bd1e995) {
   pressure_.places().read(WaitAt::acceptQueue, [this](double now) {
@@ -36,7 +36,7 @@
     if (out.waiting > 0 && noRoom_.in(WaitAt::noRoom)) out.oldest = now - noRoom_.since();
     return out;
   });
-  refillLane();
+  refillOverflowRooms();
   pressure_.whenRoom([this] {
     if (noRoom_.in(WaitAt::noRoom)) accept();
   });
@@ -75,20 +75,20 @@
 // the next one to turn idle or end does.
 bool ClientServer::hasRoom() const {
   if (pressure_.ledger().room(Account::clients) < kConnection) return false;
-  return connections_.size() - inLane_ < mostUsual() || !idle_.empty() || !ending_.empty();
+  return connections_.size() - overflowCount_ < mostUsual() || !idle_.empty() || !ending_.empty();
 }
 
 void ClientServer::accept() {
   if (!open_) return;
   if (!hasRoom()) {
-    if (waiting_ && laneOpen_) return acceptToLane();
-    if (laneOpen_) return takeNext();
-    return openLane();
+    if (waiting_ && overflowOpen_) return acceptToOverflow();
+    if (overflowOpen_) return takeNext();
+    return openOverflow();
   }
   if (noRoom_.in(WaitAt::noRoom)) {
     noRoom_.leave();
-    lane_.cancel();
-    laneOpen_ = false;
+    overflowTimer_.cancel();
+    overflowOpen_ = false;
   }
   if (waiting_) return admitWaiting();
   takeNext();
@@ -96,7 +96,7 @@
 
 void ClientServer::admitWaiting() {
   tcp::socket socket = *std::exchange(waiting_, std::nullopt);
-  const bool full = connections_.size() - inLane_ >= mostUsual();
+  const bool full = connections_.size() - overflowCount_ >= mostUsual();
   if (!full || closeLeastRecentlyUsed()) return add(std::move(socket));
   // Requests had come on all that were idle, so that none is any more and there is no room.
   waiting_ = std::move(socket);
@@ -150,50 +150,50 @@
 }
 
 // Set aside from the start, so that one can be heard out where memory is what is short.
-void ClientServer::refillLane() {
-  while (laneRooms_.size() + inLane_ < limits_.lane()) {
+void ClientServer::refillOverflowRooms() {
+  while (overflowRooms_.size() + overflowCount_ < limits_.overflowPlaces()) {
     auto room = pressure_.ledger().open(Account::clients);
     if (!room.resize(kConnection)) return;
     room.fix();
-    laneRooms_.push_back(std::move(room));
+    overflowRooms_.push_back(std::move(room));
   }
 }
 
 // All are busy. What comes waits in the kernel for a while, since most requests end soon.
-void ClientServer::openLane() {
+void ClientServer::openOverflow() {
   if (noRoom_.in(WaitAt::noRoom)) return;
   noRoom_.enter(pressure_.places(), WaitAt::noRoom, BackPressure::now());
-  if (limits_.lane() == 0) return;
-  lane_.expires_after(limits_.laneAfter);
-  lane_.async_wait([this](const Error& error) {
+  if (limits_.overflowPlaces() == 0) return;
+  overflowTimer_.expires_after(limits_.overflowAfter);
+  overflowTimer_.async_wait([this](const Error& error) {
     if (error || !noRoom_.in(WaitAt::noRoom)) return;
-    laneOpen_ = true;
+    overflowOpen_ = true;
     accept();
   });
 }
 
-void ClientServer::acceptToLane() {
-  if (!makeLaneRoom()) return;
-  auto room = std::move(laneRooms_.back());
-  laneRooms_.pop_back();
+void ClientServer::acceptToOverflow() {
+  if (!makeOverflowRoom()) return;
+  auto room = std::move(overflowRooms_.back());
+  overflowRooms_.pop_back();
   const auto connection =
       std::make_shared<Connection>(*this, *std::exchange(waiting_, std::nullopt), std::move(room), true);
-  ++inLane_;
+  ++overflowCount_;
   connections_.insert(connection);
-  inLaneOrder_.append(*connection);
+  overflowOrder_.append(*connection);
   connection->start();
 }
 
 // The oldest gives way once it has had its time to speak; until then the next one waits.
-bool ClientServer::makeLaneRoom() {
-  refillLane();
-  if (!laneRooms_.empty()) return true;
-  const auto oldest = static_cast<Connection*>(inLaneOrder_.oldest());
+bool ClientServer::makeOverflowRoom() {
+  refillOverflowRooms();
+  if (!overflowRooms_.empty()) return true;
+  const auto oldest = static_cast<Connection*>(overflowOrder_.oldest());
   if (!oldest) return false;
-  const auto until = oldest->openedAt() + limits_.laneLeast;
+  const auto until = oldest->openedAt() + limits_.overflowLeast;
   if (Clock::now() < until) {
-    lane_.expires_at(until);
-    lane_.async_wait([this](const Error& error) {
+    overflowTimer_.expires_at(until);
+    overflowTimer_.async_wait([this](const Error& error) {
       if (!error && noRoom_.in(WaitAt::noRoom)) accept();
     });
     return false;
@@ -229,8 +229,8 @@
 
 void ClientServer::remove(const std::shared_ptr<Connection>& connection) {
   connections_.erase(connection);
-  inLane_ -= connection->inLane();
-  refillLane();
+  overflowCount_ -= connection->isOverflow();
+  refillOverflowRooms();
   pressure_.noteDescriptors();
   accept();
   if (connections_.empty() && !acceptor_.is_open() && done_) done_();
@@ -265,13 +265,13 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
-  lane_.cancel();
+  overflowTimer_.cancel();
   noRoom_.leave();
 }
 
 // There is no other place for it any more, so that it is taken over the limit where none is idle.
 void ClientServer::addAtStop(tcp::socket socket) {
-  if (connections_.size() - inLane_ >= mostUsual()) closeLeastRecentlyUsed();
+  if (connections_.size() - overflowCount_ >= mostUsual()) closeLeastRecentlyUsed();
   add(std::move(socket));
 }
 
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -77,13 +77,14 @@
  public:
   struct Limits {
     std::size_t connections = 480;
-    // Of these, where others than these are all busy for `laneAfter`: a side lane in which a peer is heard as
-    // far as its header and turned away, so that a malformed or silent one is not left in the kernel's queue.
-    std::size_t lane() const { return std::min<std::size_t>(8, connections / 16); }
-    std::chrono::milliseconds laneAfter{500};
-    std::chrono::milliseconds laneLeast{1000};   // one in the lane gives way to the next after this
-    std::chrono::milliseconds pausedMost{1000};  // a request that comes and finds no room in memory
-    std::chrono::milliseconds idleLeast{2000};   // an idle connection may be closed after this
+    /// Of these, kept for overflow: where all others are busy for `overflowAfter`, a peer is heard on one of
+    /// them as far as its header and turned away, so that a malformed or silent one is not left in the
+    /// kernel's queue.
+    std::size_t overflowPlaces() const { return std::min<std::size_t>(8, connections / 16); }
+    std::chrono::milliseconds overflowAfter{500};
+    std::chrono::milliseconds overflowLeast{1000};  // an overflow connection gives way to the next after this
+    std::chrono::milliseconds pausedMost{1000};     // a request that comes and finds no room in memory
+    std::chrono::milliseconds idleLeast{2000};      // an idle connection may be closed after this
     std::chrono::milliseconds idleFor{75000};
     // A peer that sends no whole request is owed an error or a close within 3 s of connecting.
     std::chrono::milliseconds firstWithin{2500};  // a connection's first request, from its acceptance
@@ -139,13 +140,13 @@
   /// Whether one more connection may be accepted: below the limit, or some connection is idle. Asks nothing
   /// of the kernel.
   bool hasRoom() const;
-  std::size_t mostUsual() const { return limits_.connections - limits_.lane(); }
+  std::size_t mostUsual() const { return limits_.connections - limits_.overflowPlaces(); }
   void accept();
   void takeNext();
-  void openLane();
-  void refillLane();
-  void acceptToLane();
-  bool makeLaneRoom();
+  void openOverflow();
+  void refillOverflowRooms();
+  void acceptToOverflow();
+  bool makeOverflowRoom();
   irisring::Time turnedAwayFor() const;
   void acceptLater();
   void admitWaiting();
@@ -159,17 +160,17 @@
   const Limits limits_;
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, lane_;
+  boost::asio::steady_timer pause_, overflowTimer_;
   BackPressure& pressure_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
   ConnectionOrder idle_;    // without a request, least recently used first
   ConnectionOrder ending_;  // told their end while they were idle; closed first where room is needed
-  ConnectionOrder inLaneOrder_;
+  ConnectionOrder overflowOrder_;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   Places::Waiting noRoom_;                               // since when there is none
-  std::size_t inLane_ = 0;
-  std::vector<Ledger::Charge> laneRooms_;  // one for each place in the lane that is free
-  bool laneOpen_ = false;
+  std::size_t overflowCount_ = 0;
+  std::vector<Ledger::Charge> overflowRooms_;  // one for each overflow place that is free
+  bool overflowOpen_ = false;
   std::function<void()> done_;
   Stats stats_;
   mutable std::mt19937_64 chance_;  // for advice on when to come back; from the configured seed
--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -29,7 +29,7 @@
   }
   void open(const json& config) {
     node.emplace(io, parseConfig(config.dump()));
-    lane = ledger().held(Account::clients);
+    overflow = ledger().held(Account::clients);
     node->start();
   }
   void open() { open(file()); }
@@ -86,7 +86,7 @@
   Listener discovery{io}, worker{io};
   std::optional<Gatekeeper> node;
   Ledger::Charge hog;
-  std::size_t lane = 0;  // what is set aside for the side lane
+  std::size_t overflow = 0;  // what is set aside for overflow connections
   void TearDown() override { hog.release(); }
 };
 
@@ -129,7 +129,7 @@
             std::string::npos);
   for (const auto& sender : senders) sender->end();
   worker.peers.clear();
-  until([&] { return node->held() == 0 && ledger().held(Account::clients) == lane; }, "all given back");
+  until([&] { return node->held() == 0 && ledger().held(Account::clients) == overflow; }, "all given back");
 }
 
 // Neither side is read ahead of the other.
@@ -175,7 +175,7 @@
   // One that ends with more than we take cannot be told from one that waits: its end comes behind the rest.
   client->reset();
   until([&] { return node->held() == 0; }, "its leaving is noticed");
-  EXPECT_EQ(ledger().held(Account::clients), lane);
+  EXPECT_EQ(ledger().held(Account::clients), overflow);
   EXPECT_EQ(turnedAway(WaitAt::bodyWindow), 0u);  // not by the worker's silence, which takes longer
 }
 
@@ -384,7 +384,7 @@
 }
 
 // All connections are busy; others come and say nothing, or nonsense.
-class Lane : public BackPressured {
+class Overflow : public BackPressured {
  protected:
   struct Silent : Holder {
     bool ready() const override { return true; }
@@ -401,8 +401,8 @@
   void SetUp() override {
     config = parseConfig(configJson("127.0.0.1:1").dump());
     limits.connections = 32;
-    limits.laneAfter = 100ms;
-    limits.laneLeast = 200ms;
+    limits.overflowAfter = 100ms;
+    limits.overflowLeast = 200ms;
     limits.firstWithin = 600ms;
     server.emplace(io, config, limits, holder, pressure);
     server->start();
@@ -420,8 +420,8 @@
   std::vector<PeerPtr> busy;
 };
 
-TEST_F(Lane, MalformedAndSilentPeersGetTheirEndAndRealOnesARefusal) {
-  ASSERT_EQ(limits.lane(), 2u);
+TEST_F(Overflow, MalformedAndSilentPeersGetTheirEndAndRealOnesARefusal) {
+  ASSERT_EQ(limits.overflowPlaces(), 2u);
   const auto silent = dial(server->address()), odd = dial(server->address()), real = dial(server->address());
   odd->send("NONSENSE\r\n\r\n");
   real->send(Ask().text());
@@ -433,13 +433,13 @@
   EXPECT_EQ(holder.askers.size(), 30u);
 }
 
-TEST_F(Lane, OneThatFindsRoomAfterAllIsServedAndMoreThanTheLaneHoldsAllEnd) {
+TEST_F(Overflow, OneThatFindsRoomAfterAllIsServedAndMoreThanTheOverflowHoldsAllEnd) {
   std::vector<PeerPtr> silent;
   for (int i = 0; i < 12; ++i) silent.push_back(dial(server->address()));
   until([&] { return std::all_of(silent.begin(), silent.end(), [](const auto& p) { return p->ended; }); },
         "an end for each");
   const auto late = dial(server->address());
-  until([&] { return server->connections() == 31; }, "one in the lane");
+  until([&] { return server->connections() == 31; }, "one on overflow");
   busy.front()->end();
   until([&] { return server->connections() == 30; }, "room");
   late->send(Ask().text());
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -75,7 +75,7 @@
     ClientServer::Limits limits;
     limits.connections = places + std::min<std::size_t>(8, (places + 8) / 16);
     limits.firstWithin = limits.idleFor = 10min;
-    ASSERT_EQ(limits.connections - limits.lane(), places);
+    ASSERT_EQ(limits.connections - limits.overflowPlaces(), places);
     config = parseConfig(configJson("127.0.0.1:1").dump());
     server.emplace(io, config, limits, holder, pressure);
     server->start();
