Rename Asker and Holder to Responder and RequestHandler

Need: the old names told neither that one answers nor that the other handles requests. Change: names only.

--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -19,7 +19,7 @@
   irisring::Time patience = 0;  // how long the client waits from when it sent the request
   double units = 1;
   unsigned setSize = 1;
-  bool whole = true;                    // the body is all there; else its rest is pulled from the asker
+  bool whole = true;                    // the body is all there; else its rest is pulled from the responder
   std::size_t holds = 0;                // bytes of memory, with what it may come to hold
   std::optional<std::uint64_t> length;  // of a body that is not, where the client has stated it
 };
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -118,7 +118,7 @@
   abandon();
   const auto self = shared_from_this();
   server_.remove(self);
-  if (held) server_.holder_.left(id_);
+  if (held) server_.handler_.left(id_);
 }
 
 void ClientServer::Connection::abandon() {
@@ -194,14 +194,14 @@
   turnAway(place);
   if (parser_->is_header_done()) {
     const auto call = readCall(parser_->get(), server_.config_);
-    if (const auto* asked = std::get_if<Call>(&call)) server_.holder_.turnedAway(asked->klass);
+    if (const auto* asked = std::get_if<Call>(&call)) server_.handler_.turnedAway(asked->klass);
   }
   bodyDone_ = last_ = true;
   reject(kNoRoom, server_.turnedAwayFor());
 }
 
 void ClientServer::Connection::tooSlow() {
-  server_.holder_.left(id_);
+  server_.handler_.left(id_);
   bodyDone_ = true;  // nothing more of it is waited for
   reject({http::status::request_timeout, "too slow"});
 }
@@ -312,7 +312,7 @@
   bodyDone_ = feed(*parser_, in_, error);
   if (error) {
     if (state_ != State::held) return close();
-    server_.holder_.left(id_);
+    server_.handler_.left(id_);
     bodyDone_ = last_ = true;
     return reject({statusOf(error), "malformed request"});
   }
@@ -416,7 +416,7 @@
   auto call = readCall(message, server_.config_);
   if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
   if (overflow_ && !server_.hasRoom()) {
-    server_.holder_.turnedAway(std::get<Call>(call).klass);
+    server_.handler_.turnedAway(std::get<Call>(call).klass);
     turnAway(WaitAt::noRoom);
     return reject(kNoRoom, server_.turnedAwayFor());
   }
@@ -428,8 +428,8 @@
   leaveOverflow();
   state_ = State::held;
   wait(WaitAt::held);
-  id_ = server_.holder_.nextId();
-  server_.holder_.take(id_, call, std::move(message), shared_from_this());
+  id_ = server_.handler_.nextId();
+  server_.handler_.take(id_, call, std::move(message), shared_from_this());
 }
 
 void ClientServer::Connection::leaveOverflow() {
@@ -442,7 +442,7 @@
 
 void ClientServer::Connection::sayReady(http::verb method) {
   if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
-  const bool ready = server_.holder_.ready() && !server_.draining_;
+  const bool ready = server_.handler_.ready() && !server_.draining_;
   reject({ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready"});
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -22,7 +22,7 @@
 constexpr std::size_t kConnection = 12 * 1024;
 
 /// One client connection: one request at a time, in the order in which they come.
-class ClientServer::Connection : public Asker,
+class ClientServer::Connection : public Responder,
                                  public ConnectionOrder::Entry,
                                  public std::enable_shared_from_this<Connection> {
   using Clock = std::chrono::steady_clock;
@@ -146,7 +146,7 @@
   void leaveOverflow();
   void sayReady(http::verb method);
 
-  // An answer from here: the request never reaches the holder.
+  // An answer from here: the request never reaches the handler.
   void reject(const Rejection& why, irisring::Time retryAfter = 0);
   void write();
   void written();
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -20,11 +20,11 @@
 
 }  // namespace
 
-ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Holder& holder,
-                           BackPressure& pressure)
+ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits,
+                           RequestHandler& handler, BackPressure& pressure)
     : config_(config),
       limits_(limits),
-      holder_(holder),
+      handler_(handler),
       acceptor_(io),
       pause_(io),
       overflowTimer_(io),
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -36,12 +36,12 @@
   std::optional<std::uint64_t> length;  // nothing: only its end tells
 };
 
-// The connection that a request came on, as its holder sees it.
-class Asker {
+// The connection that a request came on, as its handler sees it.
+class Responder {
  public:
   using TakePiece = std::function<void(std::string&& piece, bool last)>;
 
-  virtual ~Asker() = default;
+  virtual ~Responder() = default;
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
   // Or its head, then its pieces, each once `room` was called for the one before.
@@ -59,14 +59,14 @@
 };
 
 // What takes the requests.
-class Holder {
+class RequestHandler {
  public:
-  virtual ~Holder() = default;
+  virtual ~RequestHandler() = default;
   virtual bool ready() const = 0;
-  // The asker is answered once, maybe before this returns.
+  // The responder is answered once, maybe before this returns.
   virtual irisring::RequestId nextId() = 0;
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-                    const std::shared_ptr<Asker>& asker) = 0;
+                    const std::shared_ptr<Responder>& responder) = 0;
   // The client has gone; no answer is wanted.
   virtual void left(irisring::RequestId id) = 0;
   // One of this class was refused before it could be held.
@@ -106,8 +106,8 @@
     std::size_t mostBuffered = 0;  // bytes of one connection read and not yet understood
   };
 
-  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder,
-               BackPressure& pressure);
+  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits,
+               RequestHandler& handler, BackPressure& pressure);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -158,7 +158,7 @@
 
   const Config& config_;
   const Limits limits_;
-  Holder& holder_;
+  RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, overflowTimer_;
   BackPressure& pressure_;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -454,12 +454,12 @@
 // --- From the clients ------------------------------------------------------------------------------------
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
-                      const std::shared_ptr<Asker>& asker) {
+                      const std::shared_ptr<Responder>& responder) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
   held.counts = &countsOf(call.klass);
   held.message = std::move(message);
-  held.asker = asker;
+  held.responder = responder;
   held.patience = std::max(0.0, call.patience - kWayBack);
   held.streamed = !call.whole;
   held.length = call.length;
@@ -505,7 +505,7 @@
   if (found == held_.end()) return;
   found->second.pulled = true;
   std::string().swap(found->second.message.body());
-  found->second.asker->pull([this, id, take = std::move(take)](std::string&& piece, bool last) {
+  found->second.responder->pull([this, id, take = std::move(take)](std::string&& piece, bool last) {
     const auto held = held_.find(id);
     if (held == held_.end()) return;
     if (last) becameWhole(id, held->second);
@@ -585,14 +585,14 @@
   found->second.answering = true;
   found->second.deadline.cancel();
   gateway_.answering(clock_.now(), id);
-  found->second.asker->begin({contentType, length});
+  found->second.responder->begin({contentType, length});
 }
 
 void Gatekeeper::passOn(RequestId id, std::string&& piece) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
-  const auto asker = found->second.asker;
-  asker->pass(std::move(piece), false, [this, id] { pool_.resume(id); });
+  const auto responder = found->second.responder;
+  responder->pass(std::move(piece), false, [this, id] { pool_.resume(id); });
 }
 
 // The end of an answer that was passed on as it came, or what could be had of it.
@@ -602,13 +602,13 @@
   const bool whole = end.outcome.result == Result::ok;
   ++(whole ? served_ : failed_);
   ++(whole ? found->second.counts->success : found->second.counts->failure);
-  const auto asker = std::move(found->second.asker);
+  const auto responder = std::move(found->second.responder);
   held_.erase(found);
   if (whole) {
-    asker->keep(std::move(end.room));
-    asker->pass(std::move(end.body), true, nullptr);
+    responder->keep(std::move(end.room));
+    responder->pass(std::move(end.body), true, nullptr);
   } else {
-    asker->cut();
+    responder->cut();
   }
 }
 
@@ -659,13 +659,13 @@
   Held& held = found->second;
   const Time left = held.expires - clock_.now();
   // A read may not have told yet, or wait for room. Its connection is ended from a handler of its own.
-  const bool gone = held.asker->gone();
-  if (gone) asio::post(io_, [asker = held.asker] { asker->leave(); });
+  const bool gone = held.responder->gone();
+  if (gone) asio::post(io_, [responder = held.responder] { responder->leave(); });
   if (gone || left <= 0 || held.pulled) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
   const Time wait = early ? timeout : left;
   AttemptBytes bytes = attemptBytes(id, held, held.streamed ? held.patience : wait);
-  bytes.wanted = [asker = held.asker] { return !asker->gone(); };
+  bytes.wanted = [responder = held.responder] { return !responder->gone(); };
   pool_.start(id, held.attempts++, worker, std::move(bytes),
               early ? std::optional(span(timeout)) : std::nullopt);
 }
@@ -701,9 +701,9 @@
   if (const auto found = held_.find(id); found != held_.end()) {
     ++found->second.counts->failure;
     if (found->second.answering) {  // its client has the beginning
-      const auto asker = std::move(found->second.asker);
+      const auto responder = std::move(found->second.responder);
       held_.erase(found);
-      return asker->cut();
+      return responder->cut();
     }
   }
   answer(id, std::move(failure));
@@ -723,9 +723,9 @@
 void Gatekeeper::answer(RequestId id, Answer&& answer) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
-  const auto asker = std::move(found->second.asker);
+  const auto responder = std::move(found->second.responder);
   held_.erase(found);
-  asker->answer(std::move(answer));
+  responder->answer(std::move(answer));
 }
 
 // The client's request with the time that is left; what concerns only the client's connection stays behind.
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -38,7 +38,7 @@
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-class Gatekeeper : private irisring::Actions, private Holder, private Operated {
+class Gatekeeper : private irisring::Actions, private RequestHandler, private Operated {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
   ~Gatekeeper() override;
@@ -64,7 +64,7 @@
   struct Held {
     Held(boost::asio::io_context& io) : deadline(io) {}
     ClientMessage message;
-    std::shared_ptr<Asker> asker;
+    std::shared_ptr<Responder> responder;
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
@@ -76,10 +76,10 @@
     bool answering = false;               // the answer has begun to be passed on
   };
 
-  // Holder
+  // RequestHandler
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-            const std::shared_ptr<Asker>& asker) override;
+            const std::shared_ptr<Responder>& responder) override;
   void left(irisring::RequestId id) override;
   void turnedAway(unsigned klass) override;
 
--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -386,17 +386,18 @@
 // All connections are busy; others come and say nothing, or nonsense.
 class Overflow : public BackPressured {
  protected:
-  struct Silent : Holder {
+  struct Silent : RequestHandler {
     bool ready() const override { return true; }
     irisring::RequestId nextId() override { return ++last; }
-    void take(irisring::RequestId, const Call&, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
-      askers.push_back(a);
+    void take(irisring::RequestId, const Call&, ClientMessage&&,
+              const std::shared_ptr<Responder>& a) override {
+      responders.push_back(a);
     }
     void left(irisring::RequestId) override {}
     void turnedAway(unsigned) override { ++turned; }
     irisring::RequestId last = 0;
     int turned = 0;
-    std::vector<std::shared_ptr<Asker>> askers;
+    std::vector<std::shared_ptr<Responder>> responders;
   };
   void SetUp() override {
     config = parseConfig(configJson("127.0.0.1:1").dump());
@@ -404,18 +405,18 @@
     limits.overflowAfter = 100ms;
     limits.overflowLeast = 200ms;
     limits.firstWithin = 600ms;
-    server.emplace(io, config, limits, holder, pressure);
+    server.emplace(io, config, limits, handler, pressure);
     server->start();
     for (std::size_t i = 0; i < 30; ++i) {
       busy.push_back(dial(server->address()));
       busy.back()->send(Ask().text());
     }
-    until([&] { return holder.askers.size() == 30; }, "all are busy");
+    until([&] { return handler.responders.size() == 30; }, "all are busy");
   }
   BackPressure pressure{io, sharesOf({64 * kMiB}), Pressure::Limits{}};
   ClientServer::Limits limits;
   Config config;
-  Silent holder;
+  Silent handler;
   std::optional<ClientServer> server;
   std::vector<PeerPtr> busy;
 };
@@ -429,8 +430,8 @@
   EXPECT_TRUE(odd->has("HTTP/1.1 400")) << odd->got;
   EXPECT_TRUE(real->has("HTTP/1.1 503")) << real->got;
   EXPECT_TRUE(real->has("Retry-After: ") && real->has("Connection: close")) << real->got;
-  EXPECT_EQ(holder.turned, 1);
-  EXPECT_EQ(holder.askers.size(), 30u);
+  EXPECT_EQ(handler.turned, 1);
+  EXPECT_EQ(handler.responders.size(), 30u);
 }
 
 TEST_F(Overflow, OneThatFindsRoomAfterAllIsServedAndMoreThanTheOverflowHoldsAllEnd) {
@@ -443,8 +444,8 @@
   busy.front()->end();
   until([&] { return server->connections() == 30; }, "room");
   late->send(Ask().text());
-  until([&] { return holder.askers.size() == 31; }, "it is taken");
-  EXPECT_EQ(holder.turned, 0);
+  until([&] { return handler.responders.size() == 31; }, "it is taken");
+  EXPECT_EQ(handler.turned, 0);
 }
 
 TEST(PiledLists, SayTheLatestOfEachWorker) {
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -46,16 +46,17 @@
 
 constexpr std::size_t kMebibyte = std::size_t{1} << 20;
 
-struct SilentHolder : Holder {
+struct SilentHandler : RequestHandler {
   bool ready() const override { return true; }
   irisring::RequestId nextId() override { return ++last; }
-  void take(irisring::RequestId, const Call&, ClientMessage&&, const std::shared_ptr<Asker>& asker) override {
-    askers.push_back(asker);
+  void take(irisring::RequestId, const Call&, ClientMessage&&,
+            const std::shared_ptr<Responder>& responder) override {
+    responders.push_back(responder);
   }
   void left(irisring::RequestId) override {}
   void turnedAway(unsigned) override {}
   irisring::RequestId last = 0;
-  std::vector<std::shared_ptr<Asker>> askers;
+  std::vector<std::shared_ptr<Responder>> responders;
 };
 
 void allowDescriptors(rlim_t needed) {
@@ -77,7 +78,7 @@
     limits.firstWithin = limits.idleFor = 10min;
     ASSERT_EQ(limits.connections - limits.overflowPlaces(), places);
     config = parseConfig(configJson("127.0.0.1:1").dump());
-    server.emplace(io, config, limits, holder, pressure);
+    server.emplace(io, config, limits, handler, pressure);
     server->start();
     while (clients.size() < places) {
       clients.push_back(connect());
@@ -94,7 +95,7 @@
 
   BackPressure pressure{io, sharesOf({512 * kMebibyte}), Pressure::Limits{}};
   Config config;
-  SilentHolder holder;
+  SilentHandler handler;
   std::optional<ClientServer> server;
   std::vector<tcp::socket> clients;
   std::size_t total = 0;
@@ -144,8 +145,8 @@
   asking->read();
   resting->read();
   until([&] { return resting->ended; }, "room from the one that rests");
-  until([&] { return holder.askers.size() == 1; }, "the request");
-  holder.askers[0]->answer({});
+  until([&] { return handler.responders.size() == 1; }, "the request");
+  handler.responders[0]->answer({});
   until([&] { return asking->has("HTTP/1.1 200"); }, "its answer");
   EXPECT_FALSE(asking->ended);
 }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -16,29 +16,29 @@
 using irisring::Result;
 using namespace std::chrono_literals;
 
-struct Silent : Holder {  // never answers
+struct Silent : RequestHandler {  // never answers
   bool ready() const override { return true; }
   irisring::RequestId nextId() override { return ++last; }
-  void take(irisring::RequestId, const Call&, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
-    asker = a;
+  void take(irisring::RequestId, const Call&, ClientMessage&&, const std::shared_ptr<Responder>& a) override {
+    responder = a;
   }
   void left(irisring::RequestId) override { ++gone; }
   void turnedAway(unsigned) override { ++turned; }
   int turned = 0;
   irisring::RequestId last = 0;
   int gone = 0;
-  std::shared_ptr<Asker> asker;
+  std::shared_ptr<Responder> responder;
 };
 
 class Clients : public Loopback {
  protected:
   void open(const ClientServer::Limits& limits) {
     config = parseConfig(configJson("127.0.0.1:1").dump());
-    server.emplace(io, config, limits, holder, pressure);
+    server.emplace(io, config, limits, handler, pressure);
     server->start();
   }
   Config config;
-  Silent holder;
+  Silent handler;
   BackPressure pressure{io, sharesOf({std::size_t{64} << 20}), Pressure::Limits{}};
   std::optional<ClientServer> server;
 };
@@ -55,7 +55,7 @@
   client->send(Ask().text().substr(0, 40));
   until([&] { return client->ended; }, "the connection ends");
   EXPECT_TRUE(client->has("HTTP/1.1 408")) << client->got;
-  EXPECT_EQ(holder.last, 0u);
+  EXPECT_EQ(handler.last, 0u);
 }
 
 // Counted from the connection's start, however its bytes trickle in.
@@ -72,7 +72,7 @@
   until([&] { return silent->ended && trickling->ended; }, "both connections end");
   EXPECT_TRUE(silent->got.empty());
   EXPECT_TRUE(trickling->has("HTTP/1.1 408")) << trickling->got;
-  EXPECT_EQ(holder.last, 0u);
+  EXPECT_EQ(handler.last, 0u);
 }
 
 TEST_F(Clients, APeerThatSendsOnAfterItsLastAnswerIsCutOff) {
@@ -93,7 +93,7 @@
   client->send("POST /order HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(500, 'x'));
   until([&] { return client->has("\r\n\r\n"); }, "an answer");
   EXPECT_TRUE(client->has("HTTP/1.1 413")) << client->got;
-  EXPECT_EQ(holder.last, 0u);
+  EXPECT_EQ(handler.last, 0u);
 }
 
 TEST_F(Clients, AtTheLimitTheOldestIdleConnectionMakesRoom) {
@@ -102,7 +102,7 @@
   open(limits);
   const auto first = dial(server->address());
   first->send(Ask().text());
-  until([&] { return holder.last == 1; }, "a held request");
+  until([&] { return handler.last == 1; }, "a held request");
   const auto second = dial(server->address());
   const auto third = dial(server->address());
   third->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
@@ -118,26 +118,26 @@
   open(limits);
   const auto first = dial(server->address());
   first->send(Ask().text());
-  until([&] { return holder.last == 1; }, "a held request");
+  until([&] { return handler.last == 1; }, "a held request");
   const auto second = dial(server->address());
   second->send(Ask().text());
   io.restart();
   io.run_for(50ms);
-  EXPECT_EQ(holder.last, 1u);
+  EXPECT_EQ(handler.last, 1u);
   first->end();
-  until([&] { return holder.last == 2; }, "the second request");
-  EXPECT_EQ(holder.gone, 1);
+  until([&] { return handler.last == 2; }, "the second request");
+  EXPECT_EQ(handler.gone, 1);
 }
 
 TEST_F(Clients, OneFinalAnswerOnly) {
   open({});
   const auto client = dial(server->address());
   client->send(Ask().text());
-  until([&] { return holder.asker != nullptr; }, "a held request");
+  until([&] { return handler.responder != nullptr; }, "a held request");
   for (int i = 0; i < 2; ++i) {
     Answer answer;
     answer.body = "only";
-    holder.asker->answer(std::move(answer));
+    handler.responder->answer(std::move(answer));
   }
   until([&] { return client->has("only"); }, "the answer");
   client->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -131,25 +131,26 @@
 
 class ClientRaces : public Loopback {
  protected:
-  struct Kept : Holder {
+  struct Kept : RequestHandler {
     bool ready() const override { return true; }
     irisring::RequestId nextId() override { return ++last; }
-    void take(irisring::RequestId, const Call&, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
-      askers.push_back(a);
+    void take(irisring::RequestId, const Call&, ClientMessage&&,
+              const std::shared_ptr<Responder>& a) override {
+      responders.push_back(a);
     }
     void left(irisring::RequestId) override { ++gone; }
     void turnedAway(unsigned) override {}
     irisring::RequestId last = 0;
     int gone = 0;
-    std::vector<std::shared_ptr<Asker>> askers;
+    std::vector<std::shared_ptr<Responder>> responders;
   };
   void SetUp() override { server.start(); }
   static std::string readiness() { return "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"; }
 
   Config config = parseConfig(configJson("127.0.0.1:1").dump());
-  Kept holder;
+  Kept handler;
   BackPressure pressure{io, sharesOf({std::size_t{64} << 20}), Pressure::Limits{}};
-  ClientServer server{io, config, {}, holder, pressure};
+  ClientServer server{io, config, {}, handler, pressure};
 };
 
 // Two stand in the machine's queue as accepting stops: one has been taken from it in that turn, one has not.
@@ -177,10 +178,10 @@
   const auto client = dial(server.address());
   client->stall();
   client->send(Ask().text());
-  until([&] { return holder.askers.size() == 1; }, "the request");
+  until([&] { return handler.responders.size() == 1; }, "the request");
   Answer answer;
   answer.body = std::string(300000, 'z');
-  holder.askers[0]->answer(std::move(answer));
+  handler.responders[0]->answer(std::move(answer));
   server.stopAccepting();
   const auto idle = [&] { return pressure.places().waiting(WaitAt::answerWrite) == 0; };
   until(idle, "the answer is the system's");
@@ -189,14 +190,14 @@
   client->goOn();
   until([&] { return client->ended; }, "the end");
   EXPECT_EQ(client->count("z"), 300000u);
-  EXPECT_EQ(holder.askers.size(), 1u) << "read after the shutdown, and sent on";
+  EXPECT_EQ(handler.responders.size(), 1u) << "read after the shutdown, and sent on";
 }
 
 // At the limit the one that has rested longest would make room, but its next request has come unread.
 TEST_F(ClientRaces, AConnectionWithARequestUnreadDoesNotMakeRoom) {
   ClientServer::Limits limits;
   limits.connections = 1;
-  ClientServer small{io, config, limits, holder, pressure};
+  ClientServer small{io, config, limits, handler, pressure};
   small.start();
   const auto first = dial(small.address());
   first->send(readiness());
