Lab: a load of idle clients that hold their connections and come back when closed

Need: at the limit of connections a gatekeeper closes an idle one for each that comes. The lab had only clients that send one request and leave, so no scenario came near that limit.

Change: `[idle_clients]` in a scenario: a number of clients at each gatekeeper or at one, from a time to a time. A share sends one whole request, a share part of one, the others nothing; all of them rest, and one whose connection the gatekeeper closes connects again, within a rate. The reader turns down wrong values with line and column, and more than 200,000 connections in all, as for requests. The report and three expectations count the connections opened, closed by the gatekeeper and refused. A run whose idle clients need more descriptors than the lab's limit ends before anything starts.

--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -51,6 +51,27 @@
   EXPECT_EQ(step("do = \"throttle\"\nlink = \"discovery\"\n"), "6:6: throttle needs bytes_per_s");
 }
 
+TEST(Scenario, BadIdleClientsAreTurnedDownWithLineAndColumn) {
+  const auto idle = [](const std::string& rest) {
+    return turnedDown("length_s = 10\n[idle_clients]\n" + rest);
+  };
+  EXPECT_EQ(idle("each = 5\n"), "accepted");
+  EXPECT_EQ(idle("from_s = 1\n"), "2:1: idle_clients needs each = a number of clients");
+  EXPECT_EQ(idle("each = 0\n"), "3:8: each is 0.000000, not within 1.000000 to 16384.000000");
+  EXPECT_EQ(idle("each = 5\nmany = 1\n"), "4:8: unknown key many");
+  EXPECT_EQ(idle("each = 5\ngatekeeper = 3\n"), "4:14: gatekeeper 3 does not exist (there are 3)");
+  EXPECT_EQ(idle("each = 5\nfrom_s = 4\nuntil_s = 3\n"),
+            "5:11: until_s is 3.000000, not within 4.000000 to 10.000000");
+  EXPECT_EQ(idle("each = 5\nuntil_s = 11\n"), "4:11: until_s is 11.000000, not within 0.000000 to 10.000000");
+  EXPECT_EQ(idle("each = 5\nrequest_share = 0.8\npart_share = 0.3\n"),
+            "2:1: request_share and part_share are more than 1 together");
+  EXPECT_EQ(idle("each = 5\nconnects_per_s = 7000\n"),
+            "2:1: more than 200,000 connections: lower connects_per_s or until_s");
+  EXPECT_EQ(idle("each = 5\nconnects_per_s = 7000\ngatekeeper = 1\n"), "accepted");
+  const auto expect = [](const std::string& rest) { return turnedDown("[[expect]]\nmax = 1\n" + rest); };
+  EXPECT_EQ(expect("fate = \"idle_closed\"\n"), "3:8: idle_closed needs [idle_clients]");
+}
+
 TEST(Scenario, TheShippedScenariosAreWellFormed) {
   for (const auto& file : std::filesystem::directory_iterator(LAB_SCENARIOS)) {
     if (file.path().extension() != ".toml") continue;
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "idle_clients.hpp"
 #include "net.hpp"
 #include "plot.hpp"
 #include "process.hpp"
@@ -33,6 +34,8 @@
 constexpr int kRoutedPeers =
     30;                       // in larger fleets gatekeepers find most others by themselves, past the proxies
 constexpr double kTailS = 2;  // after the load, for the last answers
+constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
+constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
 
 json settingsFor(const Scenario& s, int me) {
   return json{{"me", me},
@@ -80,6 +83,17 @@
     {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
     {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
 
+// Each idle client takes a descriptor of the lab's own. Throws where its limit does not hold them.
+void checkDescriptors(const Scenario& s) {
+  const int crowded = s.idle.gatekeeper ? 1 : s.gatekeepers;
+  const auto needed = static_cast<rlim_t>(s.idle.each * crowded + kOtherDescriptors);
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  if (limit.rlim_cur < needed)
+    throw std::runtime_error("the idle clients need " + std::to_string(needed) +
+                             " descriptors, and the limit is " + std::to_string(limit.rlim_cur));
+}
+
 class Fleet {
  public:
   Fleet(const Scenario& s, const RunOptions& o)
@@ -112,12 +126,14 @@
       gatekeepers_.push_back(configured(g));
     }
     for (Gatekeeper& gk : gatekeepers_) launch(gk);
+    if (s_.idle.each > 0) addIdleClients();
     health();
     // The load begins once every gatekeeper is in the front, or after 15 s with those that are.
     waitForFront();
     start_ = Clock::now();
     for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
     arrive();
+    playIdleClients();
     progress();
     if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
     if (s_.replica) at(s_.lengthS + 0.5, [this] { askCopies(); });
@@ -177,6 +193,33 @@
         });
   }
 
+  void addIdleClients() {
+    for (const Gatekeeper& gk : gatekeepers_)
+      if (!s_.idle.gatekeeper || *s_.idle.gatekeeper == gk.index)
+        idleClients_[gk.index] =
+            std::make_unique<IdleClients>(io_, gk.port, s_.idle, o_.seed * kIdleSeedStep + gk.index);
+  }
+
+  void playIdleClients() {
+    for (const auto& [gatekeeper, clients] : idleClients_) {
+      at(s_.idle.fromS, [&clients = *clients] { clients.start(); });
+      at(s_.idle.untilS, [&clients = *clients] { clients.stop(); });
+    }
+  }
+
+  // What has happened to the idle clients of one gatekeeper, or of all.
+  IdleClientCounts idleCounts(std::optional<int> gatekeeper) const {
+    IdleClientCounts out;
+    for (const auto& [g, clients] : idleClients_) {
+      if (gatekeeper && *gatekeeper != g) continue;
+      const IdleClientCounts& counts = clients->counts();
+      out.opened += counts.opened;
+      out.closed += counts.closed;
+      out.refused += counts.refused;
+    }
+    return out;
+  }
+
   void storeFault(const std::string& what) {
     if (what == "store_stop") store_->stop();
     if (what == "store_start") store_->startAgain();
@@ -583,6 +626,9 @@
   }
 
   long counted(const Expect& e) const {
+    if (e.fate == "idle_opened") return idleCounts(e.gatekeeper).opened;
+    if (e.fate == "idle_closed") return idleCounts(e.gatekeeper).closed;
+    if (e.fate == "idle_refused") return idleCounts(e.gatekeeper).refused;
     const double after = e.afterS * 1000, before = e.beforeS * 1000;
     if (e.fate == "attempts")
       return judge_.attempts(
@@ -648,6 +694,13 @@
           {"calls_by_second", seconds},
           {"claims", claims_}};
     }
+    for (const auto& [g, clients] : idleClients_) {
+      const IdleClientCounts& counts = clients->counts();
+      summary["idle_clients"].push_back({{"gatekeeper", g},
+                                         {"opened", counts.opened},
+                                         {"closed_by_gatekeeper", counts.closed},
+                                         {"refused", counts.refused}});
+    }
     std::vector<std::string> broken = judge_.broken();
     broken.insert(broken.end(), crashes_.begin(), crashes_.end());
     summary["broken"] = broken;
@@ -685,6 +738,7 @@
   std::vector<std::unique_ptr<Proxy>> peerLinks_;  // [from * gatekeepers + to]
   std::map<std::string, long> copies_;  // of the shared state at the end -> gatekeepers that hold it
   std::vector<Gatekeeper> gatekeepers_;
+  std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
   std::set<int> ended_;
   std::vector<std::string> crashes_;
   json faults_ = json::array();
@@ -710,6 +764,7 @@
 int play(const Scenario& scenario, const RunOptions& options) {
   if (::access(options.burlwind.c_str(), X_OK) != 0)
     throw std::runtime_error("no program to start at " + options.burlwind + " (set --burlwind)");
+  checkDescriptors(scenario);
   ::signal(SIGPIPE, SIG_IGN);
   return Fleet(scenario, options).run();
 }
@@ -731,6 +786,11 @@
                                           std::to_string(s["store"]["claims"].size()) + " claims"
                                     : "")
             << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
+  if (s.contains("idle_clients"))
+    for (const auto& counts : s["idle_clients"])
+      std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
+                << " connections opened, " << counts["closed_by_gatekeeper"] << " closed by it, "
+                << counts["refused"] << " refused\n";
   for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
   for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
   std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -24,7 +24,9 @@
 const std::set<std::string> kFates{"served",      "refused",        "failed",        "closed",
                                    "unreachable", "lost",           "wrong",         "attempts",
                                    "upgrades",    "claims",         "roster_here",   "roster_draining",
-                                   "roster_left", "roster_missing", "roster_agreed", "copies_equal"};
+                                   "roster_left", "roster_missing", "roster_agreed", "copies_equal",
+                                   "idle_opened", "idle_closed",    "idle_refused"};
+constexpr double kMostArrivals = 200000;  // of a scenario's requests, and of its idle clients' connections
 
 class Reader {
  public:
@@ -104,6 +106,26 @@
     {"blackhole", "heal"}, {"oneway", "heal"},   {"delay", "heal"},         {"drain", "revive"},
     {"throttle", "heal"},  {"silent", "revive"}, {"agent_down", "agent_up"}};
 
+IdleLoad readIdleLoad(const Reader& r, const toml::table& table, const Scenario& s) {
+  r.onlyKeys(table,
+             {"each", "gatekeeper", "from_s", "until_s", "connects_per_s", "request_share", "part_share"});
+  IdleLoad out;
+  if (!table.get("each")) r.bad(table.source(), "idle_clients needs each = a number of clients");
+  out.each = r.number(table, "each", out.each, 1, 16384);
+  out.gatekeeper = r.index(table, "gatekeeper", s.gatekeepers, "gatekeeper");
+  const int crowded = out.gatekeeper ? 1 : s.gatekeepers;
+  out.fromS = r.number(table, "from_s", out.fromS, 0, s.lengthS);
+  out.untilS = r.number(table, "until_s", s.lengthS, out.fromS, s.lengthS);
+  out.connectsPerS = r.number(table, "connects_per_s", out.connectsPerS, 1, 20000);
+  out.requestShare = r.number(table, "request_share", out.requestShare, 0, 1);
+  out.partShare = r.number(table, "part_share", out.partShare, 0, 1);
+  if (out.requestShare + out.partShare > 1)
+    r.bad(table.source(), "request_share and part_share are more than 1 together");
+  if (out.connectsPerS * (out.untilS - out.fromS) * crowded > kMostArrivals)
+    r.bad(table.source(), "more than 200,000 connections: lower connects_per_s or until_s");
+  return out;
+}
+
 struct RandomFaults {
   double rate = 0, healAfterS = 0, fromS = 0, untilS = 0;
   std::vector<std::string> faults;
@@ -147,8 +169,8 @@
     throw BadScenario(out.str());
   }
   const Reader r(path);
-  r.onlyKeys(file,
-             {"name", "length_s", "fleet", "load", "worker", "store", "replica", "step", "expect", "random"});
+  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "idle_clients", "worker", "store", "replica", "step",
+                    "expect", "random"});
   Scenario s;
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
@@ -182,8 +204,9 @@
     s.editShare = r.number(*load, "edit_share", s.editShare, 0, 1);
     s.mostInFlight = r.number(*load, "most_in_flight", s.mostInFlight, 1, 100000);
   }
-  if (s.rate * s.lengthS > 200000)
+  if (s.rate * s.lengthS > kMostArrivals)
     r.bad(file.source(), "more than 200,000 requests: lower load.rate or length_s");
+  if (const toml::table* idle = file["idle_clients"].as_table()) s.idle = readIdleLoad(r, *idle, s);
   if (const toml::table* worker = file["worker"].as_table()) {
     r.onlyKeys(*worker, {"service_ms", "spread", "most_in_flight", "cold_s"});
     s.serviceMs = r.number(*worker, "service_ms", s.serviceMs, 0, 60000);
@@ -279,8 +302,10 @@
       if (!fate || !fate->is_string() || !kFates.contains(*fate->value<std::string>()))
         r.bad(fate ? fate->source() : table->source(),
               "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts, upgrades, "
-              "claims, roster_*");
+              "claims, roster_*, copies_equal, idle_*");
       e.fate = *fate->value<std::string>();
+      if (e.fate.starts_with("idle_") && s.idle.each == 0)
+        r.bad(fate->source(), e.fate + " needs [idle_clients]");
       e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
       e.worker = r.index(*table, "worker", s.workers, "worker");
       e.zone = r.zone(*table, s.zones);
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -38,13 +38,26 @@
   int line = 0;          // where it stands in the file, for messages
 };
 
+// Clients that connect to each gatekeeper and rest; a connection that the gatekeeper closes comes back at
+// once, as far as the rate allows.
+struct IdleLoad {
+  int each = 0;                   // clients at each gatekeeper; 0: the scenario has none
+  std::optional<int> gatekeeper;  // only at this one; none: at all of them
+  double fromS = 0;               // seconds from the start of the load
+  double untilS = 0;              // then all connections are closed
+  double connectsPerS = 200;      // connections a second to one gatekeeper at most, returns among them
+  double requestShare = 0.3;      // of the clients: send one whole request and rest
+  double partShare = 0.05;        // of the clients: send part of a request and rest; the others send nothing
+};
+
 // A count that the run must reach: fates (served, refused, failed, closed, unreachable, lost, wrong) of the
 // requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
 // workers in that time; `upgrades` whose old process has ended in order; `claims` of the duty (a new token
 // was recorded); or of the last roster recorded before beforeS how many names are `roster_here`,
 // `roster_draining`, `roster_left`, `roster_missing`; `copies_equal`, how many
-// gatekeepers hold the most common copy of the shared state at the end; or `roster_agreed`, how many
-// gatekeepers tell that roster at the end to an operator.
+// gatekeepers hold the most common copy of the shared state at the end; `roster_agreed`, how many
+// gatekeepers tell that roster at the end to an operator; or `idle_opened`, `idle_closed`, `idle_refused`,
+// the idle clients' connections.
 struct Expect {
   std::string fate;
   std::optional<int> gatekeeper, worker;
@@ -81,6 +94,7 @@
   // them.
   bool replica = false;
   double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
+  IdleLoad idle;  // `[idle_clients]`
   std::vector<Step> steps;
   std::vector<Expect> expects;
 
