Lab: a scenario's own settings in every gatekeeper's configuration

Need: the limit of sockets is read at a gatekeeper's start alone, and the lab wrote 256 for all scenarios; a step `hup` with a patch comes too late for it.

Change: `fleet.config_patch`, a JSON merge patch of every gatekeeper's configuration before its start. What is no JSON object is turned down with line and column.

--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -70,6 +70,7 @@
   EXPECT_EQ(idle("each = 5\nconnects_per_s = 7000\ngatekeeper = 1\n"), "accepted");
   const auto expect = [](const std::string& rest) { return turnedDown("[[expect]]\nmax = 1\n" + rest); };
   EXPECT_EQ(expect("fate = \"idle_closed\"\n"), "3:8: idle_closed needs [idle_clients]");
+  EXPECT_EQ(turnedDown("[fleet]\nconfig_patch = \"[1\"\n"), "2:16: config_patch is no JSON object");
 }
 
 TEST(Scenario, TheShippedScenariosAreWellFormed) {
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -275,6 +275,7 @@
                               {"prefix", "lab"},
                               {"ttl_ms", s_.storeTtlMs},
                               {"lock_delay_ms", s_.storeLockDelayMs}};
+    if (!s_.configPatch.empty()) file.merge_patch(json::parse(s_.configPatch));
     std::ofstream(gk.config) << file.dump(1);
     return gk;
   }
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -94,7 +94,8 @@
   // them.
   bool replica = false;
   double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
-  IdleLoad idle;  // `[idle_clients]`
+  IdleLoad idle;            // `[idle_clients]`
+  std::string configPatch;  // a JSON merge patch of every gatekeeper's configuration; empty: none
   std::vector<Step> steps;
   std::vector<Expect> expects;
 
