Lab: expectations on the figures that gatekeepers tell their operators

Need: a scenario could judge what clients, workers and the store see, but not what a gatekeeper says of itself, for instance how many connections wait in its accept queue.

Change: the expectation `figure` names a figure of the telemetry. The lab asks every gatekeeper every 0.5 s; the largest value that one gatekeeper, or any of them, told within the expectation's time is what counts. A figure that one of them did not tell in that time is unmet, whatever its limits. It stands in the report.

--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <map>
 
+#include "figures.hpp"
 #include "judge.hpp"
 #include "plot.hpp"
 #include "scenario.hpp"
@@ -51,7 +52,7 @@
   EXPECT_EQ(step("do = \"throttle\"\nlink = \"discovery\"\n"), "6:6: throttle needs bytes_per_s");
 }
 
-TEST(Scenario, BadIdleClientsAreTurnedDownWithLineAndColumn) {
+TEST(Scenario, BadIdleClientsAndFiguresAreTurnedDownWithLineAndColumn) {
   const auto idle = [](const std::string& rest) {
     return turnedDown("length_s = 10\n[idle_clients]\n" + rest);
   };
@@ -70,6 +71,10 @@
   EXPECT_EQ(idle("each = 5\nconnects_per_s = 7000\ngatekeeper = 1\n"), "accepted");
   const auto expect = [](const std::string& rest) { return turnedDown("[[expect]]\nmax = 1\n" + rest); };
   EXPECT_EQ(expect("fate = \"idle_closed\"\n"), "3:8: idle_closed needs [idle_clients]");
+  EXPECT_EQ(expect("fate = \"figure\"\n"), "1:1: a figure is named by figure = \"...\", and only it");
+  EXPECT_EQ(expect("fate = \"served\"\nfigure = \"inflight\"\n"),
+            "1:1: a figure is named by figure = \"...\", and only it");
+  EXPECT_EQ(expect("fate = \"figure\"\nfigure = \"inflight\"\n"), "accepted");
   EXPECT_EQ(turnedDown("[fleet]\nconfig_patch = \"[1\"\n"), "2:16: config_patch is no JSON object");
 }
 
@@ -165,6 +170,29 @@
   EXPECT_EQ(j.brokenCount(), 2);
 }
 
+TEST(Figures, ReadsTheLinesThatAreFiguresAndNoOthers) {
+  const auto figures =
+      readFigures("svc.inflight:3|g\nsvc.wait.loop.most:12|g\nother:4|g\nsvc.bad:x|g\nEOF\n");
+  const std::map<std::string, long> expected{{"inflight", 3}, {"wait.loop.most", 12}};
+  EXPECT_EQ(figures, expected);
+  EXPECT_TRUE(readFigures("").empty());
+}
+
+TEST(Figures, TheLargestOfAGatekeeperInATimeAndNoneWhereItToldNone) {
+  Figures figures({"inflight"});
+  figures.told(0, 1000, "svc.inflight:3|g\nsvc.other:90|g\n");
+  figures.told(0, 2000, "svc.inflight:7|g\n");
+  figures.told(0, 3000, "svc.inflight:9|g\n");
+  figures.told(0, 3500, "");  // no answer
+  figures.told(1, 1500, "svc.inflight:5|g\n");
+  EXPECT_EQ(figures.most("inflight", 0, 0, 3000), 7);
+  EXPECT_EQ(figures.most("inflight", 0, 0, 3001), 9);
+  EXPECT_EQ(figures.most("inflight", 1, 0, 4000), 5);
+  EXPECT_EQ(figures.most("inflight", 1, 1501, 4000), std::nullopt);
+  EXPECT_EQ(figures.most("inflight", 0, 3200, 4000), std::nullopt);
+  EXPECT_EQ(figures.most("other", 0, 0, 4000), std::nullopt) << "not asked for";
+}
+
 // A second with twice the requests has bars twice as high; a fault is drawn at its time, with its label.
 TEST(Plot, DrawsCountsBySecondAndFaults) {
   std::vector<Request> requests(3);
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "figures.hpp"
 #include "idle_clients.hpp"
 #include "net.hpp"
 #include "plot.hpp"
@@ -34,6 +35,7 @@
 constexpr int kRoutedPeers =
     30;                       // in larger fleets gatekeepers find most others by themselves, past the proxies
 constexpr double kTailS = 2;  // after the load, for the last answers
+constexpr double kFiguresEveryS = 0.5;
 constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
 constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
 
@@ -83,6 +85,14 @@
     {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
     {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
 
+std::vector<std::string> figuresOf(const Scenario& s) {
+  std::vector<std::string> out;
+  for (const Expect& e : s.expects)
+    if (e.fate == "figure" && std::find(out.begin(), out.end(), e.figure) == out.end())
+      out.push_back(e.figure);
+  return out;
+}
+
 // Each idle client takes a descriptor of the lab's own. Throws where its limit does not hold them.
 void checkDescriptors(const Scenario& s) {
   const int crowded = s.idle.gatekeeper ? 1 : s.gatekeepers;
@@ -97,7 +107,7 @@
 class Fleet {
  public:
   Fleet(const Scenario& s, const RunOptions& o)
-      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(io_) {}
+      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(io_), figures_(figuresOf(s)) {}
 
   int run() {
     fs::create_directories(o_.out);
@@ -134,6 +144,7 @@
     for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
     arrive();
     playIdleClients();
+    askFigures();
     progress();
     if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
     if (s_.replica) at(s_.lengthS + 0.5, [this] { askCopies(); });
@@ -193,6 +204,28 @@
         });
   }
 
+  // What gatekeepers tell operators of the figures expected: asked of all of them in every period.
+  void askFigures() {
+    if (finishing_ || !figures_.wanted()) return;
+    for (const Gatekeeper& gk : gatekeepers_)
+      if (gk.now.pid > 0)
+        askOps(io_, gk.now.ops, "telemetry",
+               [this, g = gk.index](const std::string& answer) { figures_.told(g, nowMs(), answer); });
+    at(nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
+  }
+
+  // The largest value of a figure; none where a gatekeeper that it is expected of did not tell it.
+  std::optional<long> figure(const Expect& e) const {
+    std::optional<long> most;
+    for (int g = 0; g < s_.gatekeepers; ++g) {
+      if (e.gatekeeper && *e.gatekeeper != g) continue;
+      const std::optional<long> told = figures_.most(e.figure, g, e.afterS * 1000, e.beforeS * 1000);
+      if (!told) return std::nullopt;
+      most = std::max(most.value_or(*told), *told);
+    }
+    return most;
+  }
+
   void addIdleClients() {
     for (const Gatekeeper& gk : gatekeepers_)
       if (!s_.idle.gatekeeper || *s_.idle.gatekeeper == gk.index)
@@ -626,7 +659,9 @@
     mostFds_ = std::max(mostFds_, fds);
   }
 
-  long counted(const Expect& e) const {
+  // None where nobody told it.
+  std::optional<long> counted(const Expect& e) const {
+    if (e.fate == "figure") return figure(e);
     if (e.fate == "idle_opened") return idleCounts(e.gatekeeper).opened;
     if (e.fate == "idle_closed") return idleCounts(e.gatekeeper).closed;
     if (e.fate == "idle_refused") return idleCounts(e.gatekeeper).refused;
@@ -702,17 +737,24 @@
                                          {"closed_by_gatekeeper", counts.closed},
                                          {"refused", counts.refused}});
     }
+    for (const Expect& e : s_.expects) {
+      if (e.fate != "figure") continue;
+      const std::optional<long> most = figure(e);
+      summary["figures"].push_back(
+          {{"line", e.line}, {"name", e.figure}, {"most", most ? json(*most) : json()}});
+    }
     std::vector<std::string> broken = judge_.broken();
     broken.insert(broken.end(), crashes_.begin(), crashes_.end());
     summary["broken"] = broken;
     summary["broken_count"] = judge_.brokenCount() + static_cast<long>(crashes_.size());
     json unmet = json::array();
     for (const Expect& e : s_.expects) {
-      const long n = counted(e);
-      if ((e.min && n < *e.min) || (e.max && n > *e.max))
-        unmet.push_back("line " + std::to_string(e.line) + ": " + e.fate + " " + std::to_string(n) +
-                        " not within " + std::to_string(e.min.value_or(0)) + ".." +
-                        (e.max ? std::to_string(*e.max) : "any"));
+      const std::optional<long> n = counted(e);
+      if (!n || (e.min && *n < *e.min) || (e.max && *n > *e.max))
+        unmet.push_back("line " + std::to_string(e.line) + ": " + e.fate +
+                        (e.figure.empty() ? "" : " " + e.figure) + " " +
+                        (n ? std::to_string(*n) : "not told") + " not within " +
+                        std::to_string(e.min.value_or(0)) + ".." + (e.max ? std::to_string(*e.max) : "any"));
     }
     summary["unmet"] = unmet;
     const bool passed = summary["broken_count"] == 0 && unmet.empty();
@@ -740,6 +782,7 @@
   std::map<std::string, long> copies_;  // of the shared state at the end -> gatekeepers that hold it
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
+  Figures figures_;
   std::set<int> ended_;
   std::vector<std::string> crashes_;
   json faults_ = json::array();
@@ -792,6 +835,10 @@
       std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
                 << " connections opened, " << counts["closed_by_gatekeeper"] << " closed by it, "
                 << counts["refused"] << " refused\n";
+  if (s.contains("figures"))
+    for (const auto& figure : s["figures"])
+      std::cout << "figure " << figure["name"].get<std::string>() << " (line " << figure["line"]
+                << "): " << figure["most"] << " at most\n";
   for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
   for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
   std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -25,7 +25,7 @@
                                    "unreachable", "lost",           "wrong",         "attempts",
                                    "upgrades",    "claims",         "roster_here",   "roster_draining",
                                    "roster_left", "roster_missing", "roster_agreed", "copies_equal",
-                                   "idle_opened", "idle_closed",    "idle_refused"};
+                                   "idle_opened", "idle_closed",    "idle_refused",  "figure"};
 constexpr double kMostArrivals = 200000;  // of a scenario's requests, and of its idle clients' connections
 
 class Reader {
@@ -297,15 +297,19 @@
     for (const toml::node& node : *expects) {
       const toml::table* table = node.as_table();
       if (!table) r.bad(node.source(), "an expectation is a table: [[expect]]");
-      r.onlyKeys(*table, {"fate", "gatekeeper", "worker", "zone", "after_s", "before_s", "min", "max"});
+      r.onlyKeys(*table,
+                 {"fate", "figure", "gatekeeper", "worker", "zone", "after_s", "before_s", "min", "max"});
       Expect e;
       e.line = static_cast<int>(table->source().begin.line);
       const toml::node* fate = table->get("fate");
       if (!fate || !fate->is_string() || !kFates.contains(*fate->value<std::string>()))
         r.bad(fate ? fate->source() : table->source(),
               "fate is one of served, refused, failed, closed, unreachable, lost, wrong, attempts, upgrades, "
-              "claims, roster_*, copies_equal, idle_*");
+              "claims, roster_*, copies_equal, idle_*, figure");
       e.fate = *fate->value<std::string>();
+      e.figure = (*table)["figure"].value_or(std::string());
+      if (e.figure.empty() == (e.fate == "figure"))
+        r.bad(table->source(), "a figure is named by figure = \"...\", and only it");
       if (e.fate.starts_with("idle_") && s.idle.each == 0)
         r.bad(fate->source(), e.fate + " needs [idle_clients]");
       e.gatekeeper = r.index(*table, "gatekeeper", s.gatekeepers, "gatekeeper");
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -56,10 +56,12 @@
 // was recorded); or of the last roster recorded before beforeS how many names are `roster_here`,
 // `roster_draining`, `roster_left`, `roster_missing`; `copies_equal`, how many
 // gatekeepers hold the most common copy of the shared state at the end; `roster_agreed`, how many
-// gatekeepers tell that roster at the end to an operator; or `idle_opened`, `idle_closed`, `idle_refused`,
-// the idle clients' connections.
+// gatekeepers tell that roster at the end to an operator; `idle_opened`, `idle_closed`, `idle_refused`, the
+// idle clients' connections; or `figure`, the largest value of that figure that one gatekeeper or all told
+// operators in [afterS, beforeS).
 struct Expect {
   std::string fate;
+  std::string figure;  // `figure` only: its name as in the gatekeepers' telemetry, without "svc."
   std::optional<int> gatekeeper, worker;
   std::optional<std::string> zone;
   double afterS = 0, beforeS = 1e9;
