Find workers, classes and plans by hash in the decision module, not by a walk for each

Cause: a whole list of workers looked each of its entries up by a walk over all workers, changed settings each class by a walk over all old ones, and a choice of worker walked all classes for each worker with two or more attempts out (whether it is silent). A list was sorted for each changed worker, although only the block of this gateway matters.

Change: an index of the workers by id; maps by name while settings change; the longest usual latency of the classes is kept and looked for anew after an answer of the slowest class; the block is selected instead of sorted out, and nothing is ordered where all workers are the gateway's own. Orders, ties and random draws are as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <stdexcept>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 
@@ -374,6 +375,7 @@
     for (const Member& entry : list) {
       Worker* worker = find(entry.worker);
       if (!worker) {
+        placeOf_[entry.worker] = workers_.size();
         workers_.emplace_back();
         worker = &workers_.back();
         fresh(*worker, now);
@@ -386,20 +388,26 @@
       worker->listed = entry;
     }
     if (limit_ <= 0) limit_ = kLimitFirst * static_cast<double>(workers_.size()) / set_.gateways;
-    std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
+    const auto dropped = std::erase_if(
+        workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
+    if (dropped > 0) renumberWorkers();
     assign();
   }
 
   void settings(Time now, const Settings& to) {
     check(to);
+    std::unordered_map<std::string_view, const Profile*> learned;  // by name; of one name the last
+    for (const ProfilePtr& old : classes_) learned[old->told.name] = old.get();
     std::vector<ProfilePtr> classes;
     for (const ClassSettings& told : to.classes) {
       classes.push_back(std::make_shared<Profile>(Profile{told, 0, now}));
-      for (const ProfilePtr& old : classes_)
-        if (old->told.name == told.name)
-          classes.back()->base = old->base, classes.back()->baseAt = old->baseAt;
+      const auto found = learned.find(told.name);
+      if (found == learned.end()) continue;
+      classes.back()->base = found->second->base;
+      classes.back()->baseAt = found->second->baseAt;
     }
     classes_ = std::move(classes);
+    longestBase_ = kUnknown;
     for (auto& [id, held] : held_) held.most = std::min(held.most, to.maxAttempts);
     movePlans(now, to);
     set_ = to;
@@ -409,13 +417,13 @@
   // Customers follow their plan's name. Those of a dropped plan are forgotten, as all are where the metered
   // period changes, since their use is kept by its quarters.
   void movePlans(Time now, const Settings& to) {
+    std::unordered_map<std::string_view, unsigned> numbers;  // by name; of one name the first
+    for (unsigned i = 0; i < to.plans.size(); ++i) numbers.try_emplace(to.plans[i].name, i);
     for (auto it = table_.begin(); it != table_.end();) {
       fill(*it, now);
-      const std::string& name = set_.plans[it->plan].name;
-      const auto found = std::find_if(to.plans.begin(), to.plans.end(),
-                                      [&](const PlanSettings& plan) { return plan.name == name; });
-      if (found != to.plans.end() && to.meterPeriod == set_.meterPeriod) {
-        it->plan = static_cast<unsigned>(found - to.plans.begin());
+      const auto found = numbers.find(set_.plans[it->plan].name);
+      if (found != numbers.end() && to.meterPeriod == set_.meterPeriod) {
+        it->plan = found->second;
         ++it;
         continue;
       }
@@ -470,6 +478,7 @@
 
  private:
   static constexpr std::uint64_t kAskTag = ~std::uint64_t{0};
+  static constexpr Time kUnknown = -1;
 
   static void check(const Settings& set) {
     require(set.gateways >= 1 && set.self < set.gateways, "gateway number out of range");
@@ -862,18 +871,35 @@
       if (w.listed.phase == Phase::ready) order.emplace_back(0, &w);
     const std::size_t n = order.size();
     subsets_ = std::max(1u, std::min(set_.gateways / kSharers, static_cast<unsigned>(n) / kLeastOwn));
+    for (auto& [hash, w] : order) w->own = subsets_ == 1;
+    if (subsets_ == 1) return;
     const std::uint64_t round = set_.self / subsets_;
     for (auto& [hash, w] : order) hash = mix(w->listed.worker ^ mix(round));
-    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    const auto before = [](const auto& a, const auto& b) {
       return a.first != b.first ? a.first < b.first : a.second->listed.worker < b.second->listed.worker;
-    });
-    for (std::size_t i = 0; i < n; ++i) order[i].second->own = i * subsets_ / n == set_.self % subsets_;
+    };
+    // Of the sorted order only which workers are in this gateway's part matters: selection, not a sort.
+    const std::size_t part = set_.self % subsets_;
+    const auto first = order.begin() + static_cast<std::ptrdiff_t>(partStart(part, n));
+    const auto last = order.begin() + static_cast<std::ptrdiff_t>(partStart(part + 1, n));
+    std::nth_element(order.begin(), first, order.end(), before);
+    std::nth_element(first, last, order.end(), before);
+    for (auto it = first; it != last; ++it) it->second->own = true;
+  }
+
+  // The lowest i with i * subsets_ / n == part.
+  std::size_t partStart(std::size_t part, std::size_t n) const {
+    return (part * n + subsets_ - 1) / subsets_;
   }
 
   Worker* find(WorkerId id) {
-    for (Worker& worker : workers_)
-      if (worker.listed.worker == id) return &worker;
-    return nullptr;
+    const auto found = placeOf_.find(id);
+    return found == placeOf_.end() ? nullptr : &workers_[found->second];
+  }
+
+  void renumberWorkers() {
+    placeOf_.clear();
+    for (std::size_t i = 0; i < workers_.size(); ++i) placeOf_[workers_[i].listed.worker] = i;
   }
 
   static Time usual(const Profile& klass) {
@@ -886,15 +912,21 @@
 
   // Attempts out and no answer for several usual latencies: cut off, paused or dead, whatever the list says.
   // Seen long before the time-outs; may hurt where a single attempt is very long, so it takes two.
-  bool silent(const Worker& w, Time now) const {
+  bool silent(const Worker& w, Time now) {
     if (w.inFlight < 2) return false;
-    Time longest = 0;
-    for (const ProfilePtr& klass : classes_) longest = std::max(longest, klass->base);
-    return now - w.heardAt > kSilent * longest;
+    return now - w.heardAt > kSilent * longestBase();
+  }
+
+  // The longest usual latency of all classes; 0: none has answered.
+  Time longestBase() {
+    if (longestBase_ != kUnknown) return longestBase_;
+    longestBase_ = 0;
+    for (const ProfilePtr& klass : classes_) longestBase_ = std::max(longestBase_, klass->base);
+    return longestBase_;
   }
 
   // Left alone as long as there is any other.
-  bool shunned(const Worker& w, Time now) const {
+  bool shunned(const Worker& w, Time now) {
     return w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now);
   }
 
@@ -970,10 +1002,12 @@
     if (result == Result::cancelled || result == Result::moot) return;
     if (result == Result::ok || result == Result::error || result == Result::timeout) {
       if (result == Result::ok) {
+        const Time base = klass.base;
         klass.base = klass.base > 0
                          ? toward(klass.base, end.elapsed, std::min(kBaseSpan, now - klass.baseAt), kBaseTau)
                          : end.elapsed;
         klass.baseAt = now;
+        if (base >= longestBase_ || klass.base >= longestBase_) longestBase_ = kUnknown;
       }
       const double ratio = std::min(kSlowMost, end.elapsed / usual(klass));
       if (result != Result::error && (result == Result::ok || ratio > slow(w))) noteSlow(w, now, ratio);
@@ -1148,10 +1182,12 @@
   Random random_;
   std::list<Customer> table_;  // least recent first
   std::unordered_map<CustomerId, std::list<Customer>::iterator> index_;
-  std::map<unsigned, double> kinds_;           // latency over the class's usual of each kind of worker
-  double meanOthers_ = 0;                      // of load reports: what the others have out at a worker
-  std::vector<Worker> workers_;                // in the order of their listing
-  std::unordered_map<WorkerId, Time> barred_;  // put out by hand, and since when
+  std::map<unsigned, double> kinds_;  // latency over the class's usual of each kind of worker
+  double meanOthers_ = 0;             // of load reports: what the others have out at a worker
+  std::vector<Worker> workers_;       // in the order of their listing
+  std::unordered_map<WorkerId, std::size_t> placeOf_;  // of each in workers_
+  Time longestBase_ = kUnknown;                        // of classes_; kUnknown: to be looked for anew
+  std::unordered_map<WorkerId, Time> barred_;          // put out by hand, and since when
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
   Time bucketSince_, ceilingSince_;
