Pool: find the oldest idle connection and a worker's attempts without a walk over all

Cause: at the limit of connections each attempt walked all workers ever listed for the connection that has stood idle longest, once more for each one dropped for want of memory; and each new, restarted or leaving worker of a list walked all attempts out.

Change: one list of the idle connections in the order in which they came to rest, and each worker's own list of connections with an attempt.

--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -78,6 +78,7 @@
   const WorkerId worker;
   const tcp::endpoint address;
   const double openedAtMs;
+  std::optional<std::list<Shared>::iterator> placeInIdle;  // in the pool's list of idle connections
 
   // Whether there is room for an attempt of these bytes here.
   bool hasRoomFor(const AttemptBytes& bytes) {
@@ -145,8 +146,6 @@
     return error != asio::error::would_block;
   }
 
-  Clock::time_point restedAt() const { return restedAt_; }
-
   void rest() {
     restedAt_ = Clock::now();
     waiting_.leave();
@@ -497,35 +496,28 @@
   if (restarted || place.address != worker.place.address) closeIdle(worker);
   // Who listens at the address that the worker has left is anybody's guess.
   if (place.address != worker.place.address)
-    endThose([&](const Connection& connection) {
-      return connection.worker == id && connection.waiting() && connection.address != place.address;
+    endThose(worker, [&](const Connection& connection) {
+      return connection.waiting() && connection.address != place.address;
     });
   worker.place = place;
   worker.retired = false;
   if (!restarted) return;
   // The process that these attempts went to is no more, whether or not its machine has said so.
-  endThose([&](const Connection& connection) {
-    return connection.worker == id && connection.openedAtMs < place.startedAtMs;
-  });
+  endThose(worker, [&](const Connection& connection) { return connection.openedAtMs < place.startedAtMs; });
 }
 
 // Attempts that have written nothing end as connections that never came up; others as resets.
-void WorkerPool::endThose(const std::function<bool(const Connection&)>& meant) {
+void WorkerPool::endThose(const Worker& worker, const std::function<bool(const Connection&)>& meant) {
   std::vector<Shared> ending;
-  for (auto& [request, connection] : busy_)
+  for (const Shared& connection : worker.busy)
     if (meant(*connection)) ending.push_back(connection);
   for (const Shared& connection : ending) {
     report(connection->stop(Result::reset));
-    busy_.erase(connection->request());
+    removeBusy(connection->request());
     drop(*connection);
   }
 }
 
-// A connection that comes up late would be written to when nothing may go there any more.
-void WorkerPool::endUnsent(WorkerId id) {
-  endThose([&](const Connection& connection) { return connection.worker == id && connection.waiting(); });
-}
-
 void WorkerPool::retire(WorkerId id) {
   const auto found = workers_.find(id);
   if (found == workers_.end()) return;
@@ -542,7 +534,8 @@
   const auto found = workers_.find(id);
   if (found == workers_.end()) return;
   closeIdle(found->second);
-  endUnsent(id);
+  // A connection that comes up late would be written to when nothing may go there any more.
+  endThose(found->second, [](const Connection& connection) { return connection.waiting(); });
 }
 
 void WorkerPool::resume(RequestId id) {
@@ -588,7 +581,7 @@
     count(outcome.result);
     return report(outcome);
   }
-  busy_[id] = connection;
+  addBusy(id, connection);
   connection->begin(id, attempt, std::move(bytes), timeout);
 }
 
@@ -596,13 +589,26 @@
   const auto found = busy_.find(id);
   if (found == busy_.end()) return std::nullopt;
   const Shared connection = found->second;
-  busy_.erase(found);
+  removeBusy(id);
   AttemptEnd end;
   end.outcome = connection->stop(result);
   drop(*connection);
   return end;
 }
 
+void WorkerPool::addBusy(RequestId id, const Shared& connection) {
+  removeBusy(id);
+  busy_[id] = connection;
+  workers_.at(connection->worker).busy.push_back(connection);
+}
+
+void WorkerPool::removeBusy(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return;
+  std::erase(workers_.at(found->second->worker).busy, found->second);
+  busy_.erase(found);
+}
+
 // The most recent that has settled, so that the surplus ages out; where none has, the one that will first.
 WorkerPool::Shared WorkerPool::takeIdle(Worker& worker) {
   auto& idle = worker.idle;
@@ -612,6 +618,7 @@
     const Shared connection = found == idle.rend() ? idle.front() : *found;
     if (!connection->spoiled()) {
       std::erase(idle, connection);
+      idle_.erase(*std::exchange(connection->placeInIdle, std::nullopt));
       return connection;
     }
     drop(*connection);
@@ -624,12 +631,10 @@
 bool WorkerPool::makeRoom() { return total_ < limits_.total || dropOldestIdle(); }
 
 bool WorkerPool::dropOldestIdle() {
-  Shared oldest;
-  for (auto& [id, worker] : workers_)  // each has its oldest first
-    if (!worker.idle.empty() && (!oldest || worker.idle.front()->restedAt() < oldest->restedAt()))
-      oldest = worker.idle.front();
-  if (oldest) drop(*oldest);
-  return oldest != nullptr;
+  if (idle_.empty()) return false;
+  const Shared oldest = idle_.front();
+  drop(*oldest);
+  return true;
 }
 
 // Reports an end from a handler of its own: the module is never told anything from within one of its actions.
@@ -644,7 +649,7 @@
 
 void WorkerPool::finish(Connection& connection, AttemptEnd&& end) {
   const auto found = busy_.find(end.outcome.id);
-  if (found != busy_.end() && found->second.get() == &connection) busy_.erase(found);
+  if (found != busy_.end() && found->second.get() == &connection) removeBusy(end.outcome.id);
   ended_(std::move(end));
 }
 
@@ -656,12 +661,15 @@
                       found->second.idle.size() < limits_.idlePerWorker;
   if (!wanted) return drop(*connection);
   found->second.idle.push_back(connection);
+  connection->placeInIdle = idle_.insert(idle_.end(), connection);
   connection->rest();
 }
 
 void WorkerPool::drop(Connection& connection) {
+  const Shared self = connection.shared_from_this();  // the lists may be all that holds it
   connection.close();
   --total_;
+  if (connection.placeInIdle) idle_.erase(*std::exchange(connection.placeInIdle, std::nullopt));
   const auto found = workers_.find(connection.worker);
   if (found != workers_.end())
     std::erase_if(found->second.idle, [&](const Shared& other) { return other.get() == &connection; });
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -117,8 +118,11 @@
     Place place;
     bool retired = false;
     std::vector<Shared> idle;  // the most recent last
+    std::vector<Shared> busy;  // those with an attempt
   };
 
+  void addBusy(irisring::RequestId id, const Shared& connection);
+  void removeBusy(irisring::RequestId id);
   Shared takeIdle(Worker& worker);
   bool makeRoom();
   bool dropOldestIdle();
@@ -127,8 +131,7 @@
   void keep(const Shared& connection);
   void drop(Connection& connection);
   void closeIdle(Worker& worker);
-  void endThose(const std::function<bool(const Connection&)>& meant);
-  void endUnsent(irisring::WorkerId id);
+  void endThose(const Worker& worker, const std::function<bool(const Connection&)>& meant);
   void count(irisring::Result result) { ++stats_.results[static_cast<std::size_t>(result)]; }
 
   boost::asio::io_context& io_;
@@ -139,6 +142,7 @@
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;
   std::unordered_map<irisring::RequestId, Shared> busy_;
+  std::list<Shared> idle_;  // of all workers, the one that has stood idle longest first
   std::size_t total_ = 0;
   std::uint64_t written_ = 0, short_ = 0;
   Stats stats_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "growth.hpp"
 #include "loopback.hpp"
 #include "node/discovery.hpp"
 
@@ -366,6 +367,39 @@
   EXPECT_EQ(pool->shortHere(), 0u);
 }
 
+// Where none may stand idle there is nothing to look for, however many workers there are.
+TEST_F(Pool, AnAttemptAtTheLimitIsNoWalkOfAllWorkers) {
+  WorkerPool::Limits limits;
+  limits.total = 0;
+  const double factor = growth::between(500, [&](std::size_t n) {
+    open(limits);
+    for (std::size_t i = 0; i < n; ++i) pool->place(1000 + i, {worker.address(), 0});
+    const double before = growth::processorTime();
+    for (std::size_t i = 0; i < n; ++i) start(static_cast<irisring::RequestId>(i + 1));
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
+// A restart of one worker ends what is out there, and nothing at the others.
+TEST_F(Pool, ARestartEndsTheAttemptsOfItsWorkerAlone) {
+  Listener other{io};
+  open({});
+  pool->place(2, {other.address(), 0});
+  start(1);
+  pool->start(2, 0, 2, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});
+  untilSeen(1);
+  until([&] { return other.count("\r\n\r\n") == 1; }, "a request at the other");
+  pool->place(1, {worker.address(), 4e12});
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.id, 1u);
+  EXPECT_EQ(ends[0].outcome.result, Result::reset);
+  other.peers[0]->send(reply("200 OK", ""));
+  untilEnds(2);
+  EXPECT_EQ(ends[1].outcome.result, Result::ok);
+  EXPECT_EQ(pool->connections(), 1u);
+}
+
 TEST_F(Pool, HoldsNoMoreConnectionsThanItMay) {
   WorkerPool::Limits limits;
   limits.total = 1;
