Lists: forget the worker that left longest ago without a walk over all remembered

Cause: past 8,192 remembered workers each further one that leaves walked all of them for the one of the oldest list.

Change: a second order, by generation and id, beside the one by id. What is forgotten, and of one list in which order, is as before.

--- a/src/watch/list.cpp
+++ b/src/watch/list.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // Ids told to leave that are remembered; past it those of the oldest lists go. A release of 1,024 workers
-// eight times over; 100 bytes each.
+// eight times over; 170 bytes each.
 constexpr std::size_t kMostLeaving = 8192;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -131,6 +131,7 @@
         instance.phase = irisring::Phase::draining;
     }
   } else if (list.reset) {
+    byGeneration_.clear();
     leaving_.clear();
   }
   for (const Instance& instance : list.instances) note(instance, list.generation);
@@ -141,16 +142,25 @@
 
 void News::note(const Instance& instance, long long generation) {
   if (instance.phase == irisring::Phase::ready) {
-    leaving_.erase(instance.id);
+    if (const auto known = leaving_.find(instance.id); known != leaving_.end()) forget(known);
     return;
   }
-  Leaving& known = leaving_[instance.id];
-  known.generation = std::max(known.generation, generation);
-  known.startedAtMs = std::max(known.startedAtMs, instance.startedAtMs);
+  const auto known = leaving_.try_emplace(instance.id).first;
+  setGeneration(known->first, known->second, std::max(known->second.generation, generation));
+  known->second.startedAtMs = std::max(known->second.startedAtMs, instance.startedAtMs);
   if (leaving_.size() <= kMostLeaving) return;
-  leaving_.erase(std::min_element(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) {
-    return a.second.generation < b.second.generation;
-  }));
+  forget(leaving_.find(std::string(byGeneration_.begin()->second)));
+}
+
+void News::setGeneration(const std::string& id, Leaving& known, long long generation) {
+  byGeneration_.erase({known.generation, id});
+  known.generation = generation;
+  byGeneration_.insert({generation, id});
+}
+
+void News::forget(LeavingById::iterator known) {
+  byGeneration_.erase({known->second.generation, known->first});
+  leaving_.erase(known);
 }
 
 }  // namespace burlwind
--- a/src/watch/list.hpp
+++ b/src/watch/list.hpp
@@ -6,8 +6,10 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "irisring/decide.hpp"
@@ -61,6 +63,9 @@
 // ready or they have started anew.
 class News {
  public:
+  News() = default;
+  News(const News&) = delete;  // byGeneration_ refers to the ids in leaving_
+  News& operator=(const News&) = delete;
   // The version to ask from; below 0: the whole list.
   long long from() const { return from_; }
   // Asks for the whole list from now on, since what has come cannot be trusted.
@@ -73,10 +78,15 @@
     long long generation = 0;
     double startedAtMs = 0;
   };
+  using LeavingById = std::map<std::string, Leaving>;
+
   void note(const Instance& instance, long long generation);
+  void setGeneration(const std::string& id, Leaving& known, long long generation);
+  void forget(LeavingById::iterator known);
 
   long long from_ = -1, newest_ = -1;
-  std::map<std::string, Leaving> leaving_;
+  LeavingById leaving_;
+  std::set<std::pair<long long, std::string_view>> byGeneration_;  // the same, the oldest first
 };
 
 }  // namespace burlwind
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "growth.hpp"
 #include "watch/list.hpp"
 
 namespace burlwind {
@@ -303,5 +304,37 @@
   EXPECT_EQ(phaseOf(take(list(42, false, {entry("a", "Ready")}), true), 0), irisring::Phase::ready);
 }
 
+// Past the most that are remembered those of the oldest list go, and of one list the first by id.
+TEST(Lists, ForgetWorkersThatLeftByTheOldestListFirst) {
+  constexpr std::size_t kRemembered = 8192;
+  News news;
+  Roster first = list(1, true, {entry("b", "Terminating"), entry("a", "Terminating")});
+  ASSERT_TRUE(news.take(first));
+  std::vector<std::string> many;
+  for (std::size_t i = 0; i + 1 < kRemembered; ++i)
+    many.push_back(entry("w-" + std::to_string(i), "Terminating"));
+  Roster second = list(2, false, many);
+  ASSERT_TRUE(news.take(second));
+  Roster old = list(1, true, {entry("a", "Ready"), entry("b", "Ready"), entry("w-0", "Ready")});
+  ASSERT_FALSE(news.take(old));  // the whole list is asked for, and is as old
+  ASSERT_TRUE(news.take(old));
+  EXPECT_EQ(old.instances[0].phase, irisring::Phase::ready);
+  EXPECT_EQ(old.instances[1].phase, irisring::Phase::draining);
+  EXPECT_EQ(old.instances[2].phase, irisring::Phase::draining);
+}
+
+TEST(Lists, OfManyWorkersThatLeaveAreNoWalkOfAllForEach) {
+  const double factor = growth::between(2000, [](std::size_t n) {
+    std::vector<std::string> entries;
+    for (std::size_t i = 0; i < n; ++i) entries.push_back(entry("w-" + std::to_string(i), "Terminating"));
+    Roster roster = list(1, true, entries);
+    News news;
+    const double before = growth::processorTime();
+    news.take(roster);
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
 }  // namespace
 }  // namespace burlwind
