Gatekeeper: number zones, kinds, classes and plans by hash

Cause: each worker of a list looked its zone and kind up by a walk over all names, changed settings joined the names by a walk for each, and each request that waits for the first list walked all classes and plans.

Change: NameIndex, made once for a list or a change. A name that the settings do not have has the same number as before.

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <cstdio>
-#include <limits>
 
 #include "node/legacy.hpp"
 
@@ -102,21 +101,6 @@
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
-// One that the settings do not name is none of theirs, also after others have come in.
-unsigned indexOf(const std::vector<std::string>& names, const std::string& name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  return found == names.end() ? std::numeric_limits<unsigned>::max()
-                              : static_cast<unsigned>(found - names.begin());
-}
-
-// The names of changed settings behind those there were: whoever was told of a name by its number goes on to
-// mean the same.
-std::vector<std::string> joined(std::vector<std::string> names, const std::vector<std::string>& changed) {
-  for (const std::string& name : changed)
-    if (std::find(names.begin(), names.end(), name) == names.end()) names.push_back(name);
-  return names;
-}
-
 }  // namespace
 
 Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
@@ -355,10 +339,11 @@
 
 // What came before the first list is numbered as the settings were then. False: its class or plan is no more;
 // it is refused when its time ends.
-bool Gatekeeper::renumber(irisring::Request& request, const Config& to) const {
-  const unsigned klass = indexOf(to.host.classes, config_.host.classes[request.klass]);
-  const unsigned plan = indexOf(to.host.plans, config_.host.plans[request.plan]);
-  if (klass >= to.host.classes.size() || plan >= to.host.plans.size()) return false;
+bool Gatekeeper::renumber(irisring::Request& request, const NameIndex& classes,
+                          const NameIndex& plans) const {
+  const unsigned klass = classes.of(config_.host.classes[request.klass]);
+  const unsigned plan = plans.of(config_.host.plans[request.plan]);
+  if (klass == NameIndex::kNone || plan == NameIndex::kNone) return false;
   request.klass = klass;
   request.plan = plan;
   return true;
@@ -379,13 +364,15 @@
 void Gatekeeper::reload(const Config& config) {
   irisring::Settings settings = config.settings;
   irisring::HostSettings host = config.host;
-  host.zones = joined(config_.host.zones, host.zones);
-  host.kinds = joined(config_.host.kinds, host.kinds);
+  // Behind the names there were: whoever was told of a name by its number goes on to mean the same.
+  host.zones = joinedNames(config_.host.zones, host.zones);
+  host.kinds = joinedNames(config_.host.kinds, host.kinds);
   if (settings.zone < config.host.zones.size())
-    settings.zone = indexOf(host.zones, config.host.zones[settings.zone]);
+    settings.zone = NameIndex(host.zones).of(config.host.zones[settings.zone]);
+  const NameIndex classes(config.host.classes), plans(config.host.plans);
   std::vector<irisring::Request> early;
   for (irisring::Request request : early_)
-    if (renumber(request, config)) early.push_back(request);
+    if (renumber(request, classes, plans)) early.push_back(request);
   gateway_.settings(clock_.now(), settings);
   early_ = std::move(early);
   config_.settings = std::move(settings);
@@ -614,12 +601,13 @@
 
 // --- From discovery --------------------------------------------------------------------------------------
 
-Member Gatekeeper::memberOf(const Instance& instance) const {
+// One of a zone or kind that the settings do not name is of none of theirs, also after others have come in.
+Member Gatekeeper::memberOf(const Instance& instance, const NameIndex& zones, const NameIndex& kinds) const {
   Member out;
   out.worker = numberOf(instance.id);
   out.phase = instance.phase;
-  out.zone = indexOf(config_.host.zones, instance.zone);
-  out.kind = indexOf(config_.host.kinds, instance.kind);
+  out.zone = zones.of(instance.zone);
+  out.kind = kinds.of(instance.kind);
   out.cell = instance.cell;
   out.started = instance.startedAtMs;
   return out;
@@ -629,8 +617,9 @@
   std::vector<Member> members;
   std::unordered_set<WorkerId> unnamed;
   if (kind != ListKind::delta) unnamed = listed_;
+  const NameIndex zones(config_.host.zones), kinds(config_.host.kinds);
   for (const Instance& instance : roster.instances) {
-    members.push_back(memberOf(instance));
+    members.push_back(memberOf(instance, zones, kinds));
     noteNamed(instance.id);
     const WorkerId worker = members.back().worker;
     unnamed.erase(worker);
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -17,6 +17,7 @@
 #include "node/discovery.hpp"
 #include "node/exclusions.hpp"
 #include "node/metrics.hpp"
+#include "node/name_index.hpp"
 #include "node/ops_server.hpp"
 #include "node/worker_pool.hpp"
 #include "replica/replica_node.hpp"
@@ -103,8 +104,8 @@
 
   void told(const Roster& roster, irisring::ListKind kind);
   void settle();
-  bool renumber(irisring::Request& request, const Config& to) const;
-  irisring::Member memberOf(const Instance& instance) const;
+  bool renumber(irisring::Request& request, const NameIndex& classes, const NameIndex& plans) const;
+  irisring::Member memberOf(const Instance& instance, const NameIndex& zones, const NameIndex& kinds) const;
   void ended(AttemptEnd&& end);
   void expire(irisring::RequestId id);
   void giveUpAll();
