--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace burlwind::replica {
 namespace {
@@ -135,8 +136,9 @@
 // Suspects whose time is over.
 void Replica::bury(Time now) {
   std::vector<MemberRow> dead;
+  const Time within = suspicion();
   for (const auto& [name, m] : members_)
-    if (m.row.health == Health::suspect && now >= m.since + suspicion()) dead.push_back(m.row);
+    if (m.row.health == Health::suspect && now >= m.since + within) dead.push_back(m.row);
   for (MemberRow& row : dead) {
     row.health = Health::dead;
     mergeMember(now, row);
@@ -279,7 +281,7 @@
   if (found != rows_.end() && found->second.row.stamp >= row.stamp) return false;
   clock_.hear(row.stamp);
   rows_[key] = {row, tellings()};
-  trim();
+  if (rows_.size() > kMostRows) dropOldest();
   if (!rows_.contains(key)) return false;
   if (!own) {
     ++counts_.merged;
@@ -289,11 +291,22 @@
 }
 
 // The newest kMostRows stay: the same of all copies, whatever the order in which rows came.
+void Replica::dropOldest() {
+  rows_.erase(std::min_element(rows_.begin(), rows_.end(), [](const auto& a, const auto& b) {
+    return a.second.row.stamp < b.second.row.stamp;
+  }));
+}
+
+// The same where many are too many: one sort instead of a walk for each.
 void Replica::trim() {
-  while (rows_.size() > kMostRows)
-    rows_.erase(std::min_element(rows_.begin(), rows_.end(), [](const auto& a, const auto& b) {
-      return a.second.row.stamp < b.second.row.stamp;
-    }));
+  if (rows_.size() <= kMostRows) return;
+  using At = std::map<Key, Held>::iterator;
+  std::vector<At> oldest;
+  for (At at = rows_.begin(); at != rows_.end(); ++at) oldest.push_back(at);
+  std::stable_sort(oldest.begin(), oldest.end(),
+                   [](const At& a, const At& b) { return a->second.row.stamp < b->second.row.stamp; });
+  oldest.resize(rows_.size() - kMostRows);
+  for (const At& at : oldest) rows_.erase(at);
 }
 
 void Replica::set(Time now, const std::string& table, const std::string& key, const std::string& value) {
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -113,6 +113,7 @@
   void mergeMember(Time now, const MemberRow& row);
   bool mergeRow(const Row& row, bool own);
   void refute(std::uint64_t incarnation);
+  void dropOldest();
   void trim();
   void probe(Time now);
   void suspect(Time now, const std::string& name);
