Roster: cut what is too long by one sort

Cause: each row past what a roster holds walked all rows for the next one to fall out.

Change: the rows are sorted once, in the same order (those that are there last, then by the version since which they are so, then by name).

--- a/src/duty/roster.cpp
+++ b/src/duty/roster.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace burlwind::duty {
 namespace {
@@ -45,12 +46,17 @@
 void Roster::trim() {
   std::size_t bytes = 0;
   for (const auto& [name, row] : rows_) bytes += name.size() + row.build.size() + kRowBytes;
-  while (rows_.size() > kMostRows || bytes > kMostBytes) {
-    // Those who are there fall out last.
-    const auto worst = std::min_element(rows_.begin(), rows_.end(), [](const auto& a, const auto& b) {
-      const bool aThere = a.second.processes > 0, bThere = b.second.processes > 0;
-      return aThere != bThere ? bThere : a.second.since < b.second.since;
-    });
+  if (rows_.size() <= kMostRows && bytes <= kMostBytes) return;
+  using At = std::map<std::string, RosterRow>::iterator;
+  std::vector<At> order;
+  for (At at = rows_.begin(); at != rows_.end(); ++at) order.push_back(at);
+  // Those who are there fall out last.
+  std::stable_sort(order.begin(), order.end(), [](const At& a, const At& b) {
+    const bool aThere = a->second.processes > 0, bThere = b->second.processes > 0;
+    return aThere != bThere ? bThere : a->second.since < b->second.since;
+  });
+  for (const At& worst : order) {
+    if (rows_.size() <= kMostRows && bytes <= kMostBytes) return;
     bytes -= worst->first.size() + worst->second.build.size() + kRowBytes;
     rows_.erase(worst);
   }
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -16,6 +16,7 @@
 #include "config_said.hpp"
 #include "duty/base64.hpp"
 #include "duty/coordinator.hpp"
+#include "growth.hpp"
 #include "store_state.hpp"
 
 namespace burlwind::duty {
@@ -455,6 +456,18 @@
   EXPECT_GT(r.rows().size(), 1900u);
 }
 
+TEST(Roster, OfTooManyIsCutWithoutAWalkOfAllForEach) {
+  const double factor = growth::between(2000, [](std::size_t n) {
+    std::vector<Member> all;
+    for (std::size_t i = 0; i < n; ++i) all.push_back({"n" + std::to_string(i), "i", "b", 1, false, {}});
+    Roster r;
+    const double before = growth::processorTime();
+    r.update(all, [](const std::string&) { return false; });
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
 // --- What may be said that is wrong ----------------------------------------------------------------------
 
 TEST(DutyBadInput, AnswersThatAreNoneAreErrorsAndNeverAYes) {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -15,6 +15,7 @@
 #include <queue>
 
 #include "config_said.hpp"
+#include "growth.hpp"
 #include "replica/replica_node.hpp"
 
 namespace burlwind::replica {
@@ -321,6 +322,37 @@
   EXPECT_EQ(up.rows().size(), Replica::kMostRows);
 }
 
+TEST(Replica, ASnapshotOfTooManyRowsIsCutWithoutAWalkOfAllForEach) {
+  const double factor = growth::between(1000, [](std::size_t n) {
+    std::vector<Row> rows;
+    for (std::size_t i = 0; i < n; ++i)
+      rows.push_back({"t", "k" + std::to_string(i), "", {std::int64_t(i), 0, "g"}, false});
+    Quiet outside;
+    Replica copy = quietCopy(outside);
+    const double before = growth::processorTime();
+    copy.restore({}, rows);
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
+// Half of a fleet that is cut off is suspected at once.
+TEST(Replica, SuspectsAreLookedThroughWithoutAWalkOfAllForEach) {
+  const double factor = growth::between(63, [](std::size_t n) {
+    std::vector<MemberRow> suspects;
+    for (std::size_t i = 0; i < n; ++i)
+      suspects.push_back({"g" + std::to_string(i), "a", 1, 0, Health::suspect});
+    Quiet outside;
+    Replica copy = quietCopy(outside);
+    copy.restore(suspects, {});
+    for (int i = 0; i < 10; ++i) copy.tick(1);
+    const double before = growth::processorTime();
+    for (int i = 0; i < 200; ++i) copy.tick(1);
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
 TEST(ReplicaBadInput, AMessageThatIsNoneIsRefusedWhole) {
   Message m = from("g", 1);
   m.rows.push_back({"t", "k", std::string("\0\xff", 2), {1, 2, "o"}, true});
