Rename News to RosterHistory, with accept, record and requestFullList

Which lists of workers hold, by their versions and by the workers that have left, is a history of the roster; "news" and "distrust" hid that. Identifiers alone: log lines and figures are as before, and the tests check what they did.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -52,7 +52,7 @@
         agent_(agent),
         watch_(limits, seed),
         told_(std::move(told)) {
-    if (known.generation >= 0) news_.take(known);
+    if (known.generation >= 0) history_.accept(known);
   }
 
   void open() { act(watch_.open(BackPressure::now())); }
@@ -120,7 +120,8 @@
 
   void ask() {
     http::request<http::empty_body> request(http::verb::get, "/registry/instances?watch=1", 11);
-    if (news_.from() >= 0) request.target("/registry/instances?watch=1&from=" + std::to_string(news_.from()));
+    if (history_.from() >= 0)
+      request.target("/registry/instances?watch=1&from=" + std::to_string(history_.from()));
     request.set(http::field::host, "discovery");
     out_.clear();
     append(out_, request);
@@ -187,7 +188,7 @@
     try {
       if (!takeLists()) return turnDown("list: older than what is known");
     } catch (const std::runtime_error& wrong) {
-      news_.distrust();
+      history_.requestFullList();
       return turnDown(wrong.what());
     }
     if (stopped_) return;
@@ -211,7 +212,7 @@
     while (const auto object = objects_.next(line_)) {
       Roster list = parseRoster(*object);
       ++stats_.lists;
-      if (!(good = news_.take(list))) break;
+      if (!(good = history_.accept(list))) break;
       watch_.line(BackPressure::now());
       if (piled)
         addTo(*piled, std::move(list));
@@ -248,7 +249,7 @@
   asio::steady_timer timer_;
   tcp::endpoint agent_;
   Watch watch_;
-  News news_;
+  RosterHistory history_;
   ObjectReader objects_;
   const Told told_;
   beast::flat_buffer in_;
--- a/src/watch/list.cpp
+++ b/src/watch/list.cpp
@@ -115,12 +115,12 @@
   return std::exchange(done_, 0);
 }
 
-// --- News ------------------------------------------------------------------------------------------------
+// --- RosterHistory ---------------------------------------------------------------------------------------
 
-bool News::take(Roster& list) {
+bool RosterHistory::accept(Roster& list) {
   const bool old = list.generation < newest_;
   if (from_ >= 0 ? list.generation < from_ : old && !list.reset) {
-    distrust();
+    requestFullList();
     return false;
   }
   if (old) {
@@ -134,13 +134,13 @@
     byGeneration_.clear();
     leaving_.clear();
   }
-  for (const Instance& instance : list.instances) note(instance, list.generation);
+  for (const Instance& instance : list.instances) record(instance, list.generation);
   from_ = list.generation;
   newest_ = std::max(newest_, list.generation);
   return true;
 }
 
-void News::note(const Instance& instance, long long generation) {
+void RosterHistory::record(const Instance& instance, long long generation) {
   if (instance.phase == irisring::Phase::ready) {
     if (const auto known = leaving_.find(instance.id); known != leaving_.end()) forget(known);
     return;
@@ -152,13 +152,13 @@
   forget(leaving_.find(std::string(byGeneration_.begin()->second)));
 }
 
-void News::setGeneration(const std::string& id, Leaving& known, long long generation) {
+void RosterHistory::setGeneration(const std::string& id, Leaving& known, long long generation) {
   byGeneration_.erase({known.generation, id});
   known.generation = generation;
   byGeneration_.insert({generation, id});
 }
 
-void News::forget(LeavingById::iterator known) {
+void RosterHistory::forget(LeavingById::iterator known) {
   byGeneration_.erase({known->second.generation, known->first});
   leaving_.erase(known);
 }
--- a/src/watch/list.hpp
+++ b/src/watch/list.hpp
@@ -61,17 +61,17 @@
 // old) is turned down once, so that the whole list is asked for; where that is old as well there is nothing
 // better, and it is taken, but workers once told to leave stay so until a list newer than all names them as
 // ready or they have started anew.
-class News {
+class RosterHistory {
  public:
-  News() = default;
-  News(const News&) = delete;  // byGeneration_ refers to the ids in leaving_
-  News& operator=(const News&) = delete;
+  RosterHistory() = default;
+  RosterHistory(const RosterHistory&) = delete;  // byGeneration_ refers to the ids in leaving_
+  RosterHistory& operator=(const RosterHistory&) = delete;
   // The version to ask from; below 0: the whole list.
   long long from() const { return from_; }
   // Asks for the whole list from now on, since what has come cannot be trusted.
-  void distrust() { from_ = -1; }
+  void requestFullList() { from_ = -1; }
   // False: turned down; the whole list is to be asked for. True: `list` holds as it now is.
-  bool take(Roster& list);
+  bool accept(Roster& list);
 
  private:
   struct Leaving {
@@ -80,7 +80,7 @@
   };
   using LeavingById = std::map<std::string, Leaving>;
 
-  void note(const Instance& instance, long long generation);
+  void record(const Instance& instance, long long generation);
   void setGeneration(const std::string& id, Leaving& known, long long generation);
   void forget(LeavingById::iterator known);
 
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -285,17 +285,17 @@
 // An agent that lags is asked for the whole list once; what was told to leave stays so until somebody newer,
 // or a new start, says otherwise.
 TEST(Lists, ThatAreOlderThanWhatIsKnownBringNoLeavingWorkerBack) {
-  News news;
+  RosterHistory history;
   const auto phaseOf = [](const Roster& roster, std::size_t i) { return roster.instances.at(i).phase; };
   const auto take = [&](Roster roster, bool expected) {
-    EXPECT_EQ(news.take(roster), expected);
+    EXPECT_EQ(history.accept(roster), expected);
     return roster;
   };
   take(list(40, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready")}), true);
   take(list(41, false, {entry("a", "Terminating"), entry("c", "Gone")}), true);
-  EXPECT_EQ(news.from(), 41);
+  EXPECT_EQ(history.from(), 41);
   take(list(39, false, {entry("a", "Ready")}), false);
-  EXPECT_EQ(news.from(), -1);
+  EXPECT_EQ(history.from(), -1);
   Roster old = take(list(39, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready", 5)}), true);
   EXPECT_EQ(phaseOf(old, 0), irisring::Phase::draining);
   EXPECT_EQ(phaseOf(old, 1), irisring::Phase::ready);
@@ -308,17 +308,17 @@
 // Past the most that are remembered those of the oldest list go, and of one list the first by id.
 TEST(Lists, ForgetWorkersThatLeftByTheOldestListFirst) {
   constexpr std::size_t kRemembered = 8192;
-  News news;
+  RosterHistory history;
   Roster first = list(1, true, {entry("b", "Terminating"), entry("a", "Terminating")});
-  ASSERT_TRUE(news.take(first));
+  ASSERT_TRUE(history.accept(first));
   std::vector<std::string> many;
   for (std::size_t i = 0; i + 1 < kRemembered; ++i)
     many.push_back(entry("w-" + std::to_string(i), "Terminating"));
   Roster second = list(2, false, many);
-  ASSERT_TRUE(news.take(second));
+  ASSERT_TRUE(history.accept(second));
   Roster old = list(1, true, {entry("a", "Ready"), entry("b", "Ready"), entry("w-0", "Ready")});
-  ASSERT_FALSE(news.take(old));  // the whole list is asked for, and is as old
-  ASSERT_TRUE(news.take(old));
+  ASSERT_FALSE(history.accept(old));  // the whole list is asked for, and is as old
+  ASSERT_TRUE(history.accept(old));
   EXPECT_EQ(old.instances[0].phase, irisring::Phase::ready);
   EXPECT_EQ(old.instances[1].phase, irisring::Phase::draining);
   EXPECT_EQ(old.instances[2].phase, irisring::Phase::draining);
@@ -329,9 +329,9 @@
     std::vector<std::string> entries;
     for (std::size_t i = 0; i < n; ++i) entries.push_back(entry("w-" + std::to_string(i), "Terminating"));
     Roster roster = list(1, true, entries);
-    News news;
+    RosterHistory history;
     const double before = growth::processorTime();
-    news.take(roster);
+    history.accept(roster);
     return growth::processorTime() - before;
   });
   EXPECT_LT(factor, growth::kMost);
