Rename the watch's waits to timeouts and backoffs

answer, silence, first, most and their shared kin are answerTimeout, silenceTimeout, firstBackoff, maxBackoff and so on; again() is backOff(). Identifiers alone; no test named them.

--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -33,20 +33,20 @@
 Watch::Limits Watch::limitsFor(Time stopWithin, unsigned gatekeepers) {
   const Time stop = stopWithin > 0 ? std::clamp(stopWithin, kLeastStop, kUsualStop) : kUsualStop;
   Limits out;
-  out.answer = kAnswerShare * stop;
-  out.silence = kSilence;
-  out.most = kMostShare * stop;
-  out.first = std::min(kFirst, out.most);
-  out.sharedAnswer = std::max(kSharedAnswer, out.answer);
-  out.sharedFirst = std::max(kFirst, kFirstEach * gatekeepers);
-  out.sharedMost = std::max(kSharedMost, kMostEach * gatekeepers);
-  out.sharedEvery = kToldAnyway + 0.75 * stop;
+  out.answerTimeout = kAnswerShare * stop;
+  out.silenceTimeout = kSilence;
+  out.maxBackoff = kMostShare * stop;
+  out.firstBackoff = std::min(kFirst, out.maxBackoff);
+  out.sharedAnswerTimeout = std::max(kSharedAnswer, out.answerTimeout);
+  out.sharedFirstBackoff = std::max(kFirst, kFirstEach * gatekeepers);
+  out.sharedMaxBackoff = std::max(kSharedMost, kMostEach * gatekeepers);
+  out.sharedCallInterval = kToldAnyway + 0.75 * stop;
   return out;
 }
 
 Watch::Act Watch::open(Time now) {
   shared_ = false;
-  wait_ = 0;
+  backoff_ = 0;
   state_ = State::waiting;
   due_ = now;
   return look(now);
@@ -63,41 +63,42 @@
   if (state_ == State::asked) since_ = now;
   state_ = State::watching;
   shared_ = false;
-  due_ = now + limits_.silence;
+  due_ = now + limits_.silenceTimeout;
 }
 
-Watch::Act Watch::lost(Time now) { return again(now); }
+Watch::Act Watch::lost(Time now) { return backOff(now); }
 
 Watch::Act Watch::turnedAway(Time now) {
-  if (!shared_) wait_ = 0;
+  if (!shared_) backoff_ = 0;
   shared_ = true;
-  return again(now);
+  return backOff(now);
 }
 
 Watch::Act Watch::look(Time now) {
   if (state_ == State::stopped || now < due_) return Act::none;
-  if (state_ != State::waiting) return again(now);
+  if (state_ != State::waiting) return backOff(now);
   state_ = State::connecting;
   calledAt_ = now;
-  due_ = now + (shared_ ? limits_.sharedAnswer : limits_.answer);
+  due_ = now + (shared_ ? limits_.sharedAnswerTimeout : limits_.answerTimeout);
   ++calls_;
   return Act::connect;
 }
 
 // By chance: gatekeepers that lost discovery together do not come back together. A watch that stood for a
 // while before it was lost is no reason for a longer wait; one that is lost at once each time is.
-Watch::Act Watch::again(Time now) {
+Watch::Act Watch::backOff(Time now) {
   if (state_ == State::stopped || state_ == State::waiting) return Act::none;
-  const Time first = shared_ ? limits_.sharedFirst : limits_.first;
-  const Time most = shared_ ? limits_.sharedMost : limits_.most;
-  if (state_ == State::watching && now - since_ > most) wait_ = 0;
-  wait_ = wait_ > 0 ? std::min(2 * wait_, most) : first;
+  const Time first = shared_ ? limits_.sharedFirstBackoff : limits_.firstBackoff;
+  const Time most = shared_ ? limits_.sharedMaxBackoff : limits_.maxBackoff;
+  if (state_ == State::watching && now - since_ > most) backoff_ = 0;
+  backoff_ = backoff_ > 0 ? std::min(2 * backoff_, most) : first;
   state_ = State::waiting;
-  due_ = now + wait_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
+  due_ = now + backoff_ * std::uniform_real_distribution<>(0.5, 1.5)(random_);
   if (shared_) {
-    const Time latest = calledAt_ + limits_.sharedEvery;
+    const Time latest = calledAt_ + limits_.sharedCallInterval;
     if (due_ > latest)
-      due_ = latest - limits_.sharedEvery * kSharedSpread * std::uniform_real_distribution<>(0, 1)(random_);
+      due_ = latest -
+             limits_.sharedCallInterval * kSharedSpread * std::uniform_real_distribution<>(0, 1)(random_);
     due_ = std::max(due_, now);
   }
   return Act::close;
--- a/src/watch/watch.hpp
+++ b/src/watch/watch.hpp
@@ -22,25 +22,26 @@
     ask,      // on the connection that has come up
     close,    // close what there is; `due` says when to go on
   };
+  // All in ms.
   struct Limits {
-    Time answer = 1000;        // from connecting to the first whole line
-    Time silence = 3000;       // from one whole line to the next, heartbeats among them
-    Time first = 50;           // mean wait before connecting anew
-    Time most = 250;           // to which it doubles; each wait is a half to one and a half of the mean
-    Time sharedAnswer = 2500;  // the same where discovery has turned calls away
-    Time sharedFirst = 50, sharedMost = 1000;
-    Time sharedEvery = 6500;  // and from the beginning of one call to that of the next at most
+    Time answerTimeout = 1000;   // from connecting to the first whole line
+    Time silenceTimeout = 3000;  // from one whole line to the next, heartbeats among them
+    Time firstBackoff = 50;      // mean wait before connecting anew
+    Time maxBackoff = 250;       // to which it doubles; each wait is a half to one and a half of the mean
+    Time sharedAnswerTimeout = 2500;  // the same where discovery has turned calls away
+    Time sharedFirstBackoff = 50, sharedMaxBackoff = 1000;
+    Time sharedCallInterval = 6500;  // and from the beginning of one call to that of the next at most
   };
   // `stopWithin`: for how long a worker that leaves may still be sent to, by the settings; `gatekeepers`:
   // those who may call at the same time.
   static Limits limitsFor(Time stopWithin, unsigned gatekeepers);
   // The longest from the moment at which an agent that answers has a change until this side has it, whatever
   // was going on then.
-  static Time hasWithin(const Limits& limits) { return limits.answer + 1.5 * limits.most; }
+  static Time hasWithin(const Limits& limits) { return limits.answerTimeout + 1.5 * limits.maxBackoff; }
   // The same from the moment at which a discovery that has turned calls away, or said nothing to them,
   // answers.
   static Time hasWithinShared(const Limits& limits) {
-    return std::max(hasWithin(limits), limits.sharedEvery);
+    return std::max(hasWithin(limits), limits.sharedCallInterval);
   }
 
   Watch(const Limits& limits, std::uint64_t seed) : limits_(limits), random_(seed) {}
@@ -67,14 +68,14 @@
 
  private:
   enum class State { stopped, waiting, connecting, asked, watching };
-  Act again(Time now);
+  Act backOff(Time now);
 
   Limits limits_;
   std::mt19937_64 random_;
   State state_ = State::stopped;
   Time due_ = 0, since_ = 0;  // since when lines come
   Time calledAt_ = 0;         // when the last call began
-  Time wait_ = 0;             // the mean of the wait before; 0: none lately
+  Time backoff_ = 0;          // the mean of the wait before; 0: none lately
   bool shared_ = false;       // discovery has turned a call away and not answered since
   std::uint64_t calls_ = 0;
 };
