--- a/src/watch/list.hpp
+++ b/src/watch/list.hpp
@@ -6,8 +6,10 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "irisring/decide.hpp"
@@ -59,24 +61,32 @@
 // old) is turned down once, so that the whole list is asked for; where that is old as well there is nothing
 // better, and it is taken, but workers once told to leave stay so until a list newer than all names them as
 // ready or they have started anew.
-class News {
+class RosterHistory {
  public:
+  RosterHistory() = default;
+  RosterHistory(const RosterHistory&) = delete;  // byGeneration_ refers to the ids in leaving_
+  RosterHistory& operator=(const RosterHistory&) = delete;
   // The version to ask from; below 0: the whole list.
   long long from() const { return from_; }
   // Asks for the whole list from now on, since what has come cannot be trusted.
-  void distrust() { from_ = -1; }
+  void requestFullList() { from_ = -1; }
   // False: turned down; the whole list is to be asked for. True: `list` holds as it now is.
-  bool take(Roster& list);
+  bool accept(Roster& list);
 
  private:
   struct Leaving {
     long long generation = 0;
     double startedAtMs = 0;
   };
-  void note(const Instance& instance, long long generation);
+  using LeavingById = std::map<std::string, Leaving>;
+
+  void record(const Instance& instance, long long generation);
+  void setGeneration(const std::string& id, Leaving& known, long long generation);
+  void forget(LeavingById::iterator known);
 
   long long from_ = -1, newest_ = -1;
-  std::map<std::string, Leaving> leaving_;
+  LeavingById leaving_;
+  std::set<std::pair<long long, std::string_view>> byGeneration_;  // the same, the oldest first
 };
 
 }  // namespace burlwind
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "growth.hpp"
+#include "node/name_index.hpp"
 #include "watch/list.hpp"
 
 namespace burlwind {
@@ -283,17 +285,17 @@
 // An agent that lags is asked for the whole list once; what was told to leave stays so until somebody newer,
 // or a new start, says otherwise.
 TEST(Lists, ThatAreOlderThanWhatIsKnownBringNoLeavingWorkerBack) {
-  News news;
+  RosterHistory history;
   const auto phaseOf = [](const Roster& roster, std::size_t i) { return roster.instances.at(i).phase; };
   const auto take = [&](Roster roster, bool expected) {
-    EXPECT_EQ(news.take(roster), expected);
+    EXPECT_EQ(history.accept(roster), expected);
     return roster;
   };
   take(list(40, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready")}), true);
   take(list(41, false, {entry("a", "Terminating"), entry("c", "Gone")}), true);
-  EXPECT_EQ(news.from(), 41);
+  EXPECT_EQ(history.from(), 41);
   take(list(39, false, {entry("a", "Ready")}), false);
-  EXPECT_EQ(news.from(), -1);
+  EXPECT_EQ(history.from(), -1);
   Roster old = take(list(39, true, {entry("a", "Ready"), entry("b", "Ready"), entry("c", "Ready", 5)}), true);
   EXPECT_EQ(phaseOf(old, 0), irisring::Phase::draining);
   EXPECT_EQ(phaseOf(old, 1), irisring::Phase::ready);
@@ -303,5 +305,58 @@
   EXPECT_EQ(phaseOf(take(list(42, false, {entry("a", "Ready")}), true), 0), irisring::Phase::ready);
 }
 
+// Past the most that are remembered those of the oldest list go, and of one list the first by id.
+TEST(Lists, ForgetWorkersThatLeftByTheOldestListFirst) {
+  constexpr std::size_t kRemembered = 8192;
+  RosterHistory history;
+  Roster first = list(1, true, {entry("b", "Terminating"), entry("a", "Terminating")});
+  ASSERT_TRUE(history.accept(first));
+  std::vector<std::string> many;
+  for (std::size_t i = 0; i + 1 < kRemembered; ++i)
+    many.push_back(entry("w-" + std::to_string(i), "Terminating"));
+  Roster second = list(2, false, many);
+  ASSERT_TRUE(history.accept(second));
+  Roster old = list(1, true, {entry("a", "Ready"), entry("b", "Ready"), entry("w-0", "Ready")});
+  ASSERT_FALSE(history.accept(old));  // the whole list is asked for, and is as old
+  ASSERT_TRUE(history.accept(old));
+  EXPECT_EQ(old.instances[0].phase, irisring::Phase::ready);
+  EXPECT_EQ(old.instances[1].phase, irisring::Phase::draining);
+  EXPECT_EQ(old.instances[2].phase, irisring::Phase::draining);
+}
+
+TEST(Lists, OfManyWorkersThatLeaveAreNoWalkOfAllForEach) {
+  const double factor = growth::between(2000, [](std::size_t n) {
+    std::vector<std::string> entries;
+    for (std::size_t i = 0; i < n; ++i) entries.push_back(entry("w-" + std::to_string(i), "Terminating"));
+    Roster roster = list(1, true, entries);
+    RosterHistory history;
+    const double before = growth::processorTime();
+    history.accept(roster);
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
+TEST(Names, AreFoundByTheirFirstPlaceAndJoinedOnce) {
+  const std::vector<std::string> names{"a", "b", "a"};
+  const NameIndex index(names);
+  EXPECT_EQ(index.of("a"), 0u);
+  EXPECT_EQ(index.of("b"), 1u);
+  EXPECT_EQ(index.of("c"), NameIndex::kNone);
+  EXPECT_EQ(joinedNames(names, {"c", "b", "c", "d"}), (std::vector<std::string>{"a", "b", "a", "c", "d"}));
+}
+
+TEST(Names, AreJoinedWithoutAWalkOfAllForEach) {
+  const double factor = growth::between(1000, [](std::size_t n) {
+    std::vector<std::string> names, added;
+    for (std::size_t i = 0; i < n; ++i) names.push_back("zone-" + std::to_string(i));
+    for (std::size_t i = 0; i < n; ++i) added.push_back("zone-" + std::to_string(n + i));
+    const double before = growth::processorTime();
+    EXPECT_EQ(joinedNames(names, added).size(), 2 * n);
+    return growth::processorTime() - before;
+  });
+  EXPECT_LT(factor, growth::kMost);
+}
+
 }  // namespace
 }  // namespace burlwind
