Write the guard of a connection's handlers once

Cause: HttpCalls, OpsServer, ReplicaNode and WorkerPool each wrote the wrapper that keeps a connection alive for its handlers and silences them once it has ended, and each had a flag for that. Change: GuardedConnection (src/node/guarded_connection.hpp) is the base class of the four. ClientServer, which has a state instead of a flag, and Discovery, which counts rounds, keep theirs. Behaviour as before.

--- a/src/node/http_calls.cpp
+++ b/src/node/http_calls.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "node/guarded_connection.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -17,14 +18,7 @@
 }  // namespace
 
 // One call: connect, write, read the whole answer, close.
-class HttpCalls::Exchange : public std::enable_shared_from_this<Exchange> {
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (!over_) handler(error, n);
-    };
-  }
-
+class HttpCalls::Exchange : public GuardedConnection<Exchange> {
  public:
   Exchange(HttpCalls& calls, std::uint64_t id, const tcp::endpoint& to, Request&& request)
       : calls_(calls),
@@ -58,12 +52,12 @@
   // Ends as failed, by a handler of its own.
   void later(const char* why) {
     asio::post(calls_.io_, [self = shared_from_this(), why] {
-      if (!self->over_) self->end(nullptr, why);
+      if (!self->ended()) self->end(nullptr, why);
     });
   }
 
   void abandon() {
-    over_ = true;
+    markEnded();
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -98,7 +92,6 @@
   std::string out_;
   beast::flat_buffer in_;
   http::response_parser<http::string_body> parser_;
-  bool over_ = false;
 };
 
 HttpCalls::HttpCalls(asio::io_context& io, const Limits& limits, BackPressure& pressure, Ended ended)
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -7,6 +7,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "node/guarded_connection.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -23,14 +25,7 @@
 }  // namespace
 
 // One caller: its line, its answer, its end.
-class OpsServer::Caller : public std::enable_shared_from_this<Caller> {
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (!closed_) handler(error, n);
-    };
-  }
-
+class OpsServer::Caller : public GuardedConnection<Caller> {
  public:
   Caller(OpsServer& server, tcp::socket socket, Ledger::Charge room)
       : server_(server),
@@ -57,7 +52,7 @@
 
   // Ends it and tells nobody.
   void abandon() {
-    closed_ = true;
+    markEnded();
     waiting_.leave();
     room_.release();
     timer_.cancel();
@@ -86,7 +81,6 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::string line_, out_;
-  bool closed_ = false;
 };
 
 OpsServer::OpsServer(asio::io_context& io, const Limits& limits, Operated& operated, BackPressure& pressure)
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "node/guarded_connection.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -64,7 +66,7 @@
 // One connection. While an attempt is out a read is pending, which brings the answer. While none is, only the
 // readiness to read is waited for, and it ends the connection: what came stays in the kernel, where `spoiled`
 // sees it, so that bytes of an earlier exchange are never taken for an answer.
-class WorkerPool::Connection : public std::enable_shared_from_this<Connection> {
+class WorkerPool::Connection : public GuardedConnection<Connection> {
  public:
   Connection(WorkerPool& pool, WorkerId to, const tcp::endpoint& at)
       : worker(to),
@@ -128,7 +130,7 @@
 
   // There is room for the next piece of the answer.
   void resume() {
-    if (closed_ || !busy_ || !streaming_ || reading_) return;
+    if (ended() || !busy_ || !streaming_ || reading_) return;
     read();
   }
 
@@ -157,7 +159,7 @@
   }
 
   void close() {
-    closed_ = true;
+    markEnded();
     pull_ = nullptr;
     wanted_ = nullptr;
     waiting_.leave();
@@ -169,13 +171,6 @@
   }
 
  private:
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (!closed_) handler(error, n);
-    };
-  }
-
   void wait(WaitAt place) { waiting_.enter(pool_.pressure_.places(), place, BackPressure::now()); }
 
   // What this connection takes, and what it takes with `more` bytes read.
@@ -268,7 +263,7 @@
       return;
     }
     asio::post(pool_.io_, [self = shared_from_this(), this, id = outcome_.id, error] {
-      if (closed_ || !busy_ || outcome_.id != id) return;
+      if (ended() || !busy_ || outcome_.id != id) return;
       error ? end(Result::connectFailed) : pull();
     });
   }
@@ -279,7 +274,7 @@
     timer_.cancel();
     pull_([weak = weak_from_this(), id = outcome_.id](std::string&& piece, bool last) {
       const auto self = weak.lock();
-      if (self && !self->closed_ && self->busy_ && self->outcome_.id == id)
+      if (self && !self->ended() && self->busy_ && self->outcome_.id == id)
         self->pass(std::move(piece), last);
     });
   }
@@ -305,7 +300,7 @@
     const std::size_t step = streaming_ ? kStreamStep : kReadStep;
     if (!room_.resize(cost(step))) {
       const auto again = [this] {
-        if (closed_ || reading_) return true;
+        if (ended() || reading_) return true;
         if (!room_.resize(cost(streaming_ ? kStreamStep : kReadStep))) return false;
         read();
         return true;
@@ -433,7 +428,7 @@
     const auto self = shared_from_this();
     if (good) {
       pool_.keep(self);
-      if (!closed_) watchIdle();
+      if (!ended()) watchIdle();
     } else {
       pool_.drop(*this);
     }
@@ -468,9 +463,8 @@
   bool up_ = false;
   bool settling_ = false;  // an attempt waits for `settled`
   bool busy_ = false;
-  bool used_ = false;     // has carried an attempt before
-  bool written_ = false;  // the request's last byte: from here on it may have run
-  bool closed_ = false;
+  bool used_ = false;       // has carried an attempt before
+  bool written_ = false;    // the request's last byte: from here on it may have run
   bool chunked_ = false;    // how a body that is passed on is framed
   bool streaming_ = false;  // the answer is passed on as it comes
   bool reading_ = false;
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "node/answer_lines.hpp"
+#include "node/guarded_connection.hpp"
 #include "node/http.hpp"
 
 namespace burlwind::replica {
@@ -57,14 +58,7 @@
 }  // namespace
 
 // One message of another gatekeeper and its answer.
-class ReplicaNode::Session : public std::enable_shared_from_this<Session> {
-  template <class Handler>
-  auto guard(Handler handler) {
-    return [self = shared_from_this(), this, handler](const Error& error, std::size_t n = 0) {
-      if (!over_) handler(error, n);
-    };
-  }
-
+class ReplicaNode::Session : public GuardedConnection<Session> {
  public:
   Session(ReplicaNode& node, tcp::socket socket)
       : node_(node),
@@ -85,7 +79,7 @@
   }
 
   void abandon() {
-    over_ = true;
+    markEnded();
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
@@ -152,7 +146,6 @@
   beast::flat_buffer in_;
   http::request_parser<http::string_body> parser_;
   http::response<http::string_body> reply_;
-  bool over_ = false;
 };
 
 ReplicaNode::ReplicaNode(asio::io_context& io, const Replication& where, const std::string& name,
