Share the event queue between the simulations of duties and of the replica

Cause: tests/duty_test.cpp and tests/replica_test.cpp each wrote the queue of timed events and the virtual clock. Change: EventQueue (tests/event_queue.hpp) is both. Same cases, same asserts, same order of events.

--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -9,13 +9,13 @@
 #include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <queue>
 #include <set>
 #include <thread>
 
 #include "config_said.hpp"
 #include "duty/base64.hpp"
 #include "duty/coordinator.hpp"
+#include "event_queue.hpp"
 #include "store_state.hpp"
 
 namespace burlwind::duty {
@@ -48,15 +48,11 @@
   }
 
   void run(Time until) {
-    while (!events_.empty() && events_.top().at <= until) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
+    while (const auto action = events_.next(until)) {
       store_.expire(storeNow());
-      event.what();
+      (*action)();
       check();
     }
-    now_ = until;
   }
 
   int holders() const {
@@ -92,13 +88,6 @@
   Token highest = 0;
 
  private:
-  struct Event {
-    Time at;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
-
   struct Process : Outside, Duty {
     Process(Sim& s, int i) : sim(s), index(i) {
       rate = 1 + s.between(-s.timing_.drift / 2, s.timing_.drift / 2);
@@ -108,13 +97,13 @@
           *this);
       core->add("roster", *this);
     }
-    Time local() const { return offset + rate * sim.now_; }
+    Time local() const { return offset + rate * sim.now(); }
     bool holds() const { return !dead && !paused && core->mayAct(local(), "roster"); }
     void begin() {
       core->start(local());
       arm();
       if (sim.faults_.acts) act();
-      if (sim.faults_.pauses) sim.at(sim.now_ + sim.between(3000, 20000), [this] { pause(); });
+      if (sim.faults_.pauses) sim.at(sim.now() + sim.between(3000, 20000), [this] { pause(); });
     }
     // What happens to a paused process waits until it goes on.
     void later(Time t, std::function<void()> what) {
@@ -125,27 +114,27 @@
       });
     }
     void pause() {
-      if (sim.now_ > sim.faults_.until) return;
+      if (sim.now() > sim.faults_.until) return;
       paused = true;
-      sim.at(sim.now_ + sim.between(100, 8000), [this] {
+      sim.at(sim.now() + sim.between(100, 8000), [this] {
         paused = false;
         for (auto& what : std::exchange(waiting, {})) what();
-        sim.at(sim.now_ + sim.between(3000, 20000), [this] { pause(); });
+        sim.at(sim.now() + sim.between(3000, 20000), [this] { pause(); });
       });
     }
     void arm() {
       const Time next = core->nextAt();
       if (next == kForever) return;
       const std::uint64_t mine = ++armed;
-      later(std::max(sim.now_, (next - offset) / rate) + 0.01, [this, mine] {
+      later(std::max(sim.now(), (next - offset) / rate) + 0.01, [this, mine] {
         if (mine != armed) return;
         core->tick(local());
         arm();
       });
     }
     void act() {
-      later(sim.now_ + 200, [this] {
-        core->write(local(), "roster", "at " + std::to_string(sim.now_));
+      later(sim.now() + 200, [this] {
+        core->write(local(), "roster", "at " + std::to_string(sim.now()));
         arm();
         act();
       });
@@ -177,12 +166,11 @@
     Ask ask;
   };
 
-  void at(Time t, std::function<void()> what) {
-    events_.push({std::max(t, now_), ++order_, std::move(what)});
-  }
+  Time now() const { return events_.now(); }
+  void at(Time t, std::function<void()> what) { events_.at(t, std::move(what)); }
   double between(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random_); }
-  Time storeNow() const { return storeRate_ * now_; }
-  bool faulty() const { return now_ < faults_.until; }
+  Time storeNow() const { return storeRate_ * now(); }
+  bool faulty() const { return now() < faults_.until; }
   bool lost() { return faulty() && between(0, 1) < faults_.loss; }
   Time delay() {
     if (!faulty()) return between(1, 5);
@@ -196,12 +184,12 @@
     if (ask.call == Call::compareAndSet && p.core->status()[0].state == State::holding)
       unsure += faults_.withinAssumptions && !sure(p);
     // Exactly one reply: the answer, or a failure at its time.
-    p.later(now_ + ask.within / p.rate, [&p, id = ask.id] { answerTo(p, id, {}); });
+    p.later(now() + ask.within / p.rate, [&p, id = ask.id] { answerTo(p, id, {}); });
     if (lost()) return;
     const bool inTime = faults_.withinAssumptions;
     const Time there = delay();
     if (inTime && there > timing_.callWithin) return;
-    at(now_ + there, [this, &p, ask] { arrive(p, ask); });
+    at(now() + there, [this, &p, ask] { arrive(p, ask); });
   }
   static void answerTo(Process& p, std::uint64_t id, const Reply& reply) {
     if (p.dropped.contains(id) || !p.answered.insert(id).second) return;
@@ -211,7 +199,7 @@
   void answer(Process& p, std::uint64_t id, Reply reply) {
     reply.ok = true;
     if (lost()) return;
-    p.later(now_ + delay(), [&p, id, reply] { answerTo(p, id, reply); });
+    p.later(now() + delay(), [&p, id, reply] { answerTo(p, id, reply); });
   }
 
   void arrive(Process& p, const Ask& ask) {
@@ -246,7 +234,7 @@
       case Call::read:
         if (ask.index > 0 && ask.index == store_.changedAt(ask.key, ask.recurse)) {
           reads_.push_back({&p, ask});
-          at(now_ + ask.blockFor, [this, &p, ask] {
+          at(now() + ask.blockFor, [this, &p, ask] {
             const auto found = std::find_if(reads_.begin(), reads_.end(),
                                             [&](const Read& r) { return r.who == &p && r.ask.id == ask.id; });
             if (found == reads_.end()) return;
@@ -274,7 +262,7 @@
       if (hit) woken.push_back(r);
       return hit;
     });
-    for (const Read& r : woken) at(now_, [this, r] { answer(*r.who, r.ask.id, readOf(r.ask)); });
+    for (const Read& r : woken) at(now(), [this, r] { answer(*r.who, r.ask.id, readOf(r.ask)); });
   }
 
   // The store is away for a while, and comes back as it was, empty, or as it was before.
@@ -283,7 +271,7 @@
     if (between(0, 1) < 0.3) saved_ = store_;
     down_ = true;
     reads_.clear();
-    at(now_ + between(200, 6000), [this] {
+    at(now() + between(200, 6000), [this] {
       down_ = false;
       const double kind = between(0, 1);
       if (kind < 0.5) {
@@ -293,7 +281,7 @@
         store_ = kind < 0.25 ? wingslip::lab::StoreState() : saved_;
         store_.onChange = onChange, store_.onSet = onSet;
       }
-      at(now_ + between(6000, 12000), [this] { failStore(); });
+      at(now() + between(6000, 12000), [this] { failStore(); });
     });
   }
 
@@ -326,12 +314,10 @@
   Timing timing_;
   std::mt19937_64 random_;
   double storeRate_ = 1;
-  Time now_ = 0;
-  std::uint64_t order_ = 0;
   bool down_ = false;
   wingslip::lab::StoreState store_, saved_;
   std::vector<Read> reads_;
-  std::priority_queue<Event> events_;
+  test::EventQueue events_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::map<Token, std::string> holderOf_;
   Process* acting_ = nullptr;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -12,9 +12,9 @@
 #include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <queue>
 
 #include "config_said.hpp"
+#include "event_queue.hpp"
 #include "replica/replica_node.hpp"
 
 namespace burlwind::replica {
@@ -40,23 +40,18 @@
   }
 
   void run(Time until) {
-    while (!events_.empty() && events_.top().at <= until) {
-      const Event event = events_.top();
-      events_.pop();
-      now = event.at;
-      event.what();
-    }
-    now = until;
+    while (const auto action = events_.next(until)) (*action)();
   }
+  Time now() const { return events_.now(); }
   double between(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random_); }
   int some() { return static_cast<int>(random_() % nodes_.size()); }
   void write(int i) {
     Node& node = *nodes_[i];
     const std::string key = "k" + std::to_string(random_() % 20);
     if (random_() % 4 == 0)
-      node.core->remove(now, "t", key);
+      node.core->remove(now(), "t", key);
     else
-      node.core->set(now, "t", key, "v" + std::to_string(++written_));
+      node.core->set(now(), "t", key, "v" + std::to_string(++written_));
     node.arm();
   }
   void restart(int i) { nodes_[i]->begin(); }
@@ -83,17 +78,10 @@
     return out;
   }
 
-  Time now = 0;
   long messages = 0;
   std::size_t bytes = 0;
 
  private:
-  struct Event {
-    Time at;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
   struct Node : Replica::Outside {
     Node(Fleet& f, int i) : fleet(f), index(i), wall(1e12 + f.between(-5000, 5000)) {}
     // A process of this name, with nothing but a higher generation.
@@ -105,7 +93,7 @@
       core = std::make_unique<Replica>(
           fleet.timing_, "f", MemberRow{"g" + std::to_string(index), "a", ++generation, 0, Health::alive},
           peers, fleet.random_(), *this);
-      core->start(fleet.now);
+      core->start(fleet.now());
       arm();
     }
     void arm() {
@@ -114,14 +102,14 @@
       const std::uint64_t mine = ++armed;
       fleet.at(next, [this, mine] {
         if (mine != armed) return;
-        core->tick(fleet.now);
+        core->tick(fleet.now());
         arm();
       });
     }
     void send(const Replica::Send& s) override { fleet.carry(*this, s); }
     void changed(const Row&) override {}
     void told(const std::string&) override {}
-    std::int64_t unixMs() const override { return static_cast<std::int64_t>(wall + fleet.now); }
+    std::int64_t unixMs() const override { return static_cast<std::int64_t>(wall + fleet.now()); }
 
     Fleet& fleet;
     int index;
@@ -131,12 +119,12 @@
     std::unique_ptr<Replica> core;
   };
 
-  void at(Time t, std::function<void()> what) { events_.push({std::max(t, now), ++order_, std::move(what)}); }
+  void at(Time t, std::function<void()> what) { events_.at(t, std::move(what)); }
   bool lost(int from, int to) {
-    if (now >= until_) return false;
+    if (now() >= until_) return false;
     return between(0, 1) < loss_ || (below_ > 0 && (from < below_) != (to < below_));
   }
-  Time delay() { return now >= until_ || between(0, 1) < 0.9 ? between(1, 20) : between(1, 3000); }
+  Time delay() { return now() >= until_ || between(0, 1) < 0.9 ? between(1, 20) : between(1, 3000); }
 
   void carry(Node& from, const Replica::Send& s) {
     ++messages;
@@ -145,23 +133,23 @@
     const int to = std::stoi(s.name.substr(1));
     const int life = from.life;
     const std::uint64_t id = s.id;
-    at(now + s.within, [this, &from, id, life] { give(from, life, id, std::nullopt); });
+    at(now() + s.within, [this, &from, id, life] { give(from, life, id, std::nullopt); });
     for (int copy = between(0, 1) < 0.05 ? 2 : 1; copy > 0; --copy) {  // some come twice
       if (lost(from.index, to)) continue;
-      at(now + delay(), [this, &from, to, id, life, encoded] {
+      at(now() + delay(), [this, &from, to, id, life, encoded] {
         Node& node = *nodes_[to];
         if (!node.core) return;
-        auto answer = node.core->received(now, decode(encoded.data(), encoded.size()));
+        auto answer = node.core->received(now(), decode(encoded.data(), encoded.size()));
         node.arm();
         if (!answer || lost(to, from.index)) return;
         bytes += encode(*answer).size();
-        at(now + delay(), [this, &from, life, id, answer] { give(from, life, id, answer); });
+        at(now() + delay(), [this, &from, life, id, answer] { give(from, life, id, answer); });
       });
     }
   }
   void give(Node& node, int life, std::uint64_t id, const std::optional<Message>& answer) {
     if (node.life != life) return;  // asked by a process that is gone
-    node.core->answered(now, id, answer);
+    node.core->answered(now(), id, answer);
     node.arm();
   }
 
@@ -170,8 +158,7 @@
   const Time until_;
   Timing timing_;
   int below_ = 0, written_ = 0;
-  std::uint64_t order_ = 0;
-  std::priority_queue<Event> events_;
+  test::EventQueue events_;
   std::vector<std::unique_ptr<Node>> nodes_;
 };
 
@@ -212,7 +199,7 @@
     const long atWrite = f.messages;
     const std::size_t bytesAtWrite = f.bytes;
     f.write(0);
-    Time at = f.now;
+    Time at = f.now();
     const auto everywhere = [&] {
       for (int i = 1; i < n; ++i)
         if (f.core(i).rows() != f.core(0).rows()) return false;
