Share the fixture of the worker pool between its tests and those of its races

Cause: tests/node_test.cpp and tests/races_test.cpp each wrote a pool with one worker, its attempts and their ends. Change: WorkerPoolFixture (tests/worker_pool_fixture.hpp) serves both. Same cases, same asserts; the races' tests now check too that no end is told from within start, and the pool's requests carry the id that they were started with.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -9,6 +9,7 @@
 
 #include "loopback.hpp"
 #include "node/discovery.hpp"
+#include "worker_pool_fixture.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -174,33 +175,7 @@
   EXPECT_GE(firstAgain(3).count(), 20);
 }
 
-class Pool : public Loopback {
- protected:
-  void open(const WorkerPool::Limits& limits) {
-    pool.emplace(io, limits, std::vector<std::string>{"util", "queue"}, pressure, [this](AttemptEnd&& end) {
-      EXPECT_FALSE(starting) << "told from within start";
-      ends.push_back(std::move(end));
-    });
-    pool->place(1, {worker.address(), 0});
-  }
-  void start(irisring::RequestId id, std::optional<std::chrono::steady_clock::duration> timeout = {}) {
-    starting = true;
-    pool->start(id, 0, 1, {"GET / HTTP/1.1\r\nReq-Id: 1\r\n\r\n", nullptr, false}, timeout);
-    starting = false;
-  }
-  void untilSeen(std::size_t n) {
-    until([&] { return worker.count("\r\n\r\n") == n; }, "a request at the worker");
-  }
-  void untilEnds(std::size_t n) {
-    until([&] { return ends.size() == n; }, "an outcome");
-  }
-
-  Listener worker{io};
-  BackPressure pressure{io, sharesOf({std::size_t{64} << 20}), Pressure::Limits{}};
-  std::optional<WorkerPool> pool;
-  std::vector<AttemptEnd> ends;
-  bool starting = false;
-};
+class Pool : public WorkerPoolFixture {};
 
 TEST_F(Pool, TellsTheReportAndTheMeterOfAnAnswer) {
   open({});
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -1,7 +1,7 @@
 // The rare orders of events, on real connections: each test makes the bad order happen every time. What a
 // peer does lies ready in the kernel before the loop takes its next turn, or is held back until the other
 // side has done its step.
-#include "loopback.hpp"
+#include "worker_pool_fixture.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -10,20 +10,9 @@
 using namespace std::chrono_literals;
 using Steady = std::chrono::steady_clock;
 
-class PoolRaces : public Loopback {
+class PoolRaces : public WorkerPoolFixture {
  protected:
-  void SetUp() override { pool.place(1, {worker.address(), 0}); }
-  void start(irisring::RequestId id, std::function<bool()> wanted = {},
-             std::optional<Steady::duration> timeout = {}) {
-    AttemptBytes bytes;
-    bytes.bytes = "GET / HTTP/1.1\r\nReq-Id: " + std::to_string(id) + "\r\n\r\n";
-    bytes.wanted = std::move(wanted);
-    pool.start(id, 0, 1, std::move(bytes), timeout);
-  }
-  std::size_t seen() const { return worker.count("\r\n\r\n"); }
-  void untilEnds(std::size_t n) {
-    until([&] { return ends.size() == n; }, "an outcome");
-  }
+  void SetUp() override { open({}); }
   // One connection stands idle, and what could come late on it has come.
   void rest() {
     start(1);
@@ -34,21 +23,14 @@
     until([&] { return Steady::now() >= at; }, "it has settled");
   }
 
-  Listener worker{io}, other{io};
-  BackPressure pressure{io, sharesOf({std::size_t{64} << 20}), Pressure::Limits{}};
-  std::vector<AttemptEnd> ends;
-  std::function<void()> onEnd;
-  WorkerPool pool{io, {}, {}, pressure, [this](AttemptEnd&& end) {
-                    ends.push_back(std::move(end));
-                    if (const auto then = std::exchange(onEnd, nullptr)) then();
-                  }};
+  Listener other{io};
 };
 
 // The kernel has the whole request, and the loop has not yet told: it may run all the same.
 TEST_F(PoolRaces, AnAttemptGivenUpInTheTurnOfItsLastByteMayHaveRun) {
   rest();
   start(2);
-  const auto end = pool.giveUp(2, Result::timeout);
+  const auto end = pool->giveUp(2, Result::timeout);
   ASSERT_TRUE(end);
   EXPECT_EQ(end->outcome.result, Result::timeout);
   until([&] { return seen() == 2; }, "the request at the worker");
@@ -57,7 +39,7 @@
 // Answer and time-out are both due when the loop takes its next turn, as after a pause of the process.
 TEST_F(PoolRaces, AnAnswerThatHasComeIsTakenBeforeATimeOutOfTheSameTurn) {
   rest();
-  start(2, {}, 50ms);
+  start(2, 50ms);
   until([&] { return seen() == 2; }, "the request at the worker");
   worker.peers[0]->send(reply("200 OK", "second"));
   for (const auto at = Steady::now() + 100ms; Steady::now() < at;) {
@@ -102,7 +84,7 @@
   until([&] { return seen() == 1; }, "the first request");
   onEnd = [this] {
     start(2);
-    pool.retire(1);
+    pool->retire(1);
   };
   worker.peers[0]->send(reply("200 OK", "first"));
   untilEnds(2);
@@ -112,7 +94,7 @@
 
 TEST_F(PoolRaces, AnAttemptOnItsWayToAnAddressThatTheWorkerHasLeftEnds) {
   start(1);
-  pool.place(1, {other.address(), 0});
+  pool->place(1, {other.address(), 0});
   untilEnds(1);
   EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
   start(2);
@@ -121,7 +103,7 @@
 }
 
 TEST_F(PoolRaces, AnAttemptWhoseClientLeavesWhileTheConnectionComesUpIsNotWritten) {
-  start(1, [] { return false; });
+  start(1, {}, [] { return false; });
   untilEnds(1);
   EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
   start(2);
