--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -436,6 +436,7 @@
 
 TEST_F(Overflow, OneThatFindsRoomAfterAllIsServedAndMoreThanTheOverflowHoldsAllEnd) {
   std::vector<PeerPtr> silent;
+  silent.reserve(12);
   for (int i = 0; i < 12; ++i) silent.push_back(dial(server->address()));
   until([&] { return std::all_of(silent.begin(), silent.end(), [](const auto& p) { return p->ended; }); },
         "an end for each");
