Distribution: the core that carries configuration changes to a fleet

Need: a change to the configuration is a file on each machine, read whole at SIGHUP; nothing carries a change to a fleet, tells who has it, or brings one that was down up to date.

Change: src/distribution/ (library burlwind_distribution, no socket, clock or thread): a log of versions with the writer's term, committed by a majority of the control replicas; replicas that copy from the writer or each other and serve subscribers; subscribers that take changes in order from the version they hold, refuse a bad change whole, and repair by ranges what differs. No program links it yet.

--- /dev/null
+++ b/src/distribution/control_replica.cpp
@@ -0,0 +1,297 @@
+#include "distribution/control_replica.hpp"
+
+#include <algorithm>
+
+namespace burlwind::distribution {
+
+ControlReplica::ControlReplica(const ReplicaLimits& limits, const std::string& name,
+                               const std::vector<std::string>& peers, std::uint64_t seed, Outside& outside)
+    : limits_(limits),
+      name_(name),
+      peers_(peers),
+      outside_(outside),
+      random_(seed),
+      log_([&outside](const std::string& line) { outside.log(line); }),
+      sessions_(
+          limits.sessions, state_,
+          [&outside](const std::string& to, Message message) { outside.send(to, std::move(message)); },
+          [&outside](const std::string& subscriber, const Refusal& refusal) {
+            outside.refused(subscriber, refusal);
+          }) {}
+
+bool ControlReplica::becomeWriter(Milliseconds now, Term term) {
+  if (term <= state_.promisedTerm()) return false;
+  state_.promise(term);
+  stepDown(now, "a new term of its own");
+  writer_ = std::make_unique<Writer>(
+      now, term, peers_, limits_.maxUncommitted, state_,
+      [this](const std::string& to, Message message) { outside_.send(to, std::move(message)); });
+  writer_->tick(now, outside_.unixTime());
+  return true;
+}
+
+PublishResult ControlReplica::publish(Milliseconds now, const std::string& requestId,
+                                      const std::vector<Edit>& edits) {
+  if (!writer_) return {PublishStatus::not_writer, 0, "this replica is not the writer"};
+  const PublishResult result = writer_->publish(now, outside_.unixTime(), requestId, edits);
+  if (result.status == PublishStatus::pending) unpublished_[requestId] = result.version;
+  compact();
+  return result;
+}
+
+void ControlReplica::receiveBytes(Milliseconds now, const std::string& from, const std::uint8_t* bytes,
+                                  std::size_t size) {
+  try {
+    receive(now, from, decode(bytes, size));
+  } catch (const CodecError& error) {
+    ++counts_.malformed;
+    log_.line(now, "event=message_refused from=" + from + " reason=\"" + error.what() + "\"");
+  }
+}
+
+void ControlReplica::receive(Milliseconds now, const std::string& from, const Message& message) {
+  std::visit([&](const auto& typed) { handle(now, from, typed); }, message);
+}
+
+void ControlReplica::tick(Milliseconds now) {
+  if (writer_) writer_->tick(now, outside_.unixTime());
+  if (repair_ && now - repairProgressAt_ > limits_.repairTimeout) repair_.reset();
+  if (!repair_ && now >= fetchAt_ && !hearsWriter(now)) fetchFromPeer(now);
+  sessions_.tick(now);
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Subscribe& message) {
+  sessions_.receive(now, from, message);
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Acknowledge& message) {
+  sessions_.receive(now, from, message);
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const RangeRequest& message) {
+  sessions_.receive(now, from, message, isPeer(from));
+}
+
+void ControlReplica::handle(Milliseconds, const std::string& from, const Fetch& message) {
+  if (isPeer(from)) sessions_.receive(from, message);
+}
+
+// The answer to a Fetch.
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Changes& message) {
+  if (!isPeer(from) || from != fetchedFrom_) return unexpected(now, from, "changes");
+  fetchedFrom_.clear();
+  state_.hearWriterTime(message.writerTime);
+  if (repair_) return;
+  for (const RecordPointer& record : message.records) {
+    if (record->version <= state_.committed()) continue;
+    if (record->version != state_.committed() + 1) return;
+    if (writer_ && record->term > writer_->term()) stepDown(now, "a later term has committed");
+    state_.promise(record->term);
+    if (!state_.append(record)) {
+      ++counts_.conflictingHistories;
+      return log_.line(now, "event=history_conflict from=" + from);
+    }
+    commitTo(now, record->version);
+    if (state_.committed() < record->version) return;
+  }
+  if (state_.committed() < message.committed) fetchAt_ = now;
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const RangeContents& message) {
+  if (!repair_ || from != repairFrom_) return unexpected(now, from, "ranges");
+  const TransferStep step = repair_->take(message);
+  if (step == TransferStep::ignored) {
+    if (message.transfer != repair_->id()) return unexpected(now, from, "ranges");
+  } else {
+    repairProgressAt_ = now;
+  }
+  if (step == TransferStep::damaged) {
+    ++counts_.repairsDamaged;
+    repair_.reset();
+    return log_.line(now, "event=repair_damaged from=" + from);
+  }
+  outside_.send(from, Acknowledge{state_.committed(), repair_->id(), repair_->nextPart(), {}});
+  if (step != TransferStep::complete) return;
+  if (repair_->version() >= state_.committed()) {
+    state_.promise(repair_->term());
+    state_.adopt(repair_->table(), repair_->version(), repair_->term());
+    sessions_.setServing(true);
+    ++counts_.repairsDone;
+  }
+  repair_.reset();
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Refused& message) {
+  if (!isPeer(from) || (from != fetchedFrom_ && from != repairFrom_)) return unexpected(now, from, "refusal");
+  fetchedFrom_.clear();
+  if (message.code == RefusalCode::different_history) {
+    ++counts_.conflictingHistories;
+    return log_.line(now, "event=history_conflict from=" + from);
+  }
+  if (message.code == RefusalCode::behind_horizon) return requestRepair(now, from);
+  if (repair_ && from == repairFrom_) repair_.reset();
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Claim& message) {
+  if (!isPeer(from)) return unexpected(now, from, "claim");
+  Promise promise;
+  promise.accepted = acceptTerm(message.term);
+  promise.term = state_.promisedTerm();
+  if (promise.accepted) {
+    if (writer_ && writer_->term() < message.term) stepDown(now, "a later term was claimed");
+    const ChangeLog& log = state_.log();
+    promise.lastVersion = log.lastVersion();
+    promise.lastTerm = log.lastTerm();
+    promise.committed = state_.committed();
+    if (message.committed >= log.base())
+      promise.records = log.after(message.committed, log.lastVersion(), Writer::kMaxAppendBytes);
+  }
+  outside_.send(from, std::move(promise));
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Promise& message) {
+  if (!isPeer(from)) return unexpected(now, from, "promise");
+  if (!writer_) return;
+  if (message.term > writer_->term()) {
+    state_.promise(message.term);
+    return stepDown(now, "a later term was promised");
+  }
+  writer_->receivePromise(now, outside_.unixTime(), from, message);
+  afterWriter(now);
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Append& message) {
+  if (!isPeer(from)) return unexpected(now, from, "records");
+  Appended answer;
+  answer.sentAt = message.sentAt;
+  if (!acceptTerm(message.term)) {
+    answer.term = state_.promisedTerm();
+    outside_.send(from, answer);
+    return log_.line(now, "event=old_term_refused from=" + from);
+  }
+  if (writer_) stepDown(now, "records of a later term");
+  writerHeardAt_ = now;
+  state_.hearWriterTime(message.writerTime);
+  answer.term = message.term;
+  answer.accepted = takeRecords(message);
+  answer.version = answer.accepted ? message.previousVersion + message.records.size()
+                                   : std::min(state_.log().lastVersion(), message.previousVersion - 1);
+  if (answer.accepted && !repair_) commitTo(now, std::min(message.committed, answer.version));
+  outside_.send(from, answer);
+  // What the writer no longer has in its log comes by ranges.
+  if (!answer.accepted && message.previousVersion > state_.log().lastVersion() && !repair_ && now >= fetchAt_)
+    fetchFromPeer(now);
+}
+
+void ControlReplica::handle(Milliseconds now, const std::string& from, const Appended& message) {
+  if (!isPeer(from)) return unexpected(now, from, "answer");
+  if (!writer_) return;
+  if (message.term > writer_->term()) {
+    state_.promise(message.term);
+    return stepDown(now, "a later term was promised");
+  }
+  writer_->receiveAppended(now, outside_.unixTime(), from, message);
+  afterWriter(now);
+}
+
+bool ControlReplica::isPeer(const std::string& name) const {
+  return std::find(peers_.begin(), peers_.end(), name) != peers_.end();
+}
+
+bool ControlReplica::acceptTerm(Term term) {
+  if (term < state_.promisedTerm()) {
+    ++counts_.oldTerms;
+    return false;
+  }
+  state_.promise(term);
+  return true;
+}
+
+// Whether the log now agrees with the writer's up to the end of these records.
+bool ControlReplica::takeRecords(const Append& append) {
+  const ChangeLog& log = state_.log();
+  if (append.previousVersion > log.lastVersion()) return false;
+  if (append.previousVersion > state_.committed() &&
+      log.termAt(append.previousVersion) != append.previousTerm) {
+    state_.truncateUncommittedAfter(append.previousVersion - 1);
+    return false;
+  }
+  for (const RecordPointer& record : append.records) {
+    if (state_.append(record)) continue;
+    ++counts_.conflictingHistories;
+    return false;
+  }
+  return true;
+}
+
+void ControlReplica::commitTo(Milliseconds now, Version version) {
+  if (!state_.commitTo(version)) return repairOwnTable(now);
+  compact();
+}
+
+void ControlReplica::afterWriter(Milliseconds now) {
+  tellPublished();
+  compact();
+  if (!writer_->tableDiffers()) return;
+  stepDown(now, "this copy differs");
+  repairOwnTable(now);
+}
+
+void ControlReplica::repairOwnTable(Milliseconds now) {
+  ++counts_.tableDiffers;
+  sessions_.setServing(false);
+  log_.line(now, "event=table_differs version=" + std::to_string(state_.committed()));
+  if (!repair_ && !peers_.empty()) requestRepair(now, peers_[random_() % peers_.size()]);
+}
+
+void ControlReplica::tellPublished() {
+  for (auto place = unpublished_.begin(); place != unpublished_.end();) {
+    if (place->second > state_.committed()) {
+      ++place;
+      continue;
+    }
+    outside_.published(place->first, place->second);
+    place = unpublished_.erase(place);
+  }
+}
+
+// What is not committed is not answered: whoever published it asks the next writer, with the same request id.
+void ControlReplica::stepDown(Milliseconds now, const char* why) {
+  unpublished_.clear();
+  if (!writer_) return;
+  log_.line(now, std::string("event=writer_stepped_down reason=\"") + why + "\"");
+  writer_.reset();
+}
+
+bool ControlReplica::hearsWriter(Milliseconds now) const {
+  const Milliseconds heardAt = writer_ && writer_->ready() ? writer_->majorityHeardAt() : writerHeardAt_;
+  return heardAt > 0 && now - heardAt <= limits_.writerSilence;
+}
+
+void ControlReplica::fetchFromPeer(Milliseconds now) {
+  fetchAt_ = now + limits_.fetchInterval;
+  if (peers_.empty()) return;
+  fetchedFrom_ = peers_[random_() % peers_.size()];
+  ++counts_.fetches;
+  outside_.send(fetchedFrom_, Fetch{state_.committed(), state_.committedTerm()});
+}
+
+void ControlReplica::requestRepair(Milliseconds now, const std::string& peer) {
+  RangeRequest request;
+  request.version = state_.committed();
+  request.term = state_.committedTerm();
+  request.transfer = random_() | 1;
+  request.hashes = state_.table().rangeHashes();
+  repair_ = std::make_unique<TransferReceiver>(request.transfer, state_.table());
+  repairFrom_ = peer;
+  repairProgressAt_ = now;
+  ++counts_.repairs;
+  outside_.send(peer, std::move(request));
+}
+
+void ControlReplica::unexpected(Milliseconds now, const std::string& from, const char* what) {
+  ++counts_.unexpected;
+  log_.line(now, "event=message_unexpected from=" + from + " what=" + what);
+}
+
+}  // namespace burlwind::distribution
--- /dev/null
+++ b/src/distribution/entry.cpp
@@ -0,0 +1,61 @@
+#include "distribution/entry.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <set>
+
+namespace burlwind::distribution {
+namespace {
+
+constexpr std::size_t kEntryOverheadBytes = 24;
+constexpr std::size_t kRecordOverheadBytes = 32;
+
+Hash hashOf(const Entry& entry) {
+  const std::array<std::uint64_t, 4> head{static_cast<std::uint64_t>(entry.key.kind), entry.key.name.size(),
+                                          entry.version, entry.term};
+  const Hash headHash = XXH64(head.data(), sizeof head, 0);
+  const Hash nameHash = XXH64(entry.key.name.data(), entry.key.name.size(), headHash);
+  return XXH64(entry.value.data(), entry.value.size(), nameHash);
+}
+
+}  // namespace
+
+EntryPointer makeEntry(EntryKey key, std::string value, Version version, Term term) {
+  auto entry = std::make_shared<Entry>();
+  entry->key = std::move(key);
+  entry->value = std::move(value);
+  entry->version = version;
+  entry->term = term;
+  entry->hash = hashOf(*entry);
+  return entry;
+}
+
+std::size_t approximateBytes(const Entry& entry) {
+  return kEntryOverheadBytes + entry.key.name.size() + entry.value.size();
+}
+
+std::size_t approximateBytes(const ChangeRecord& record) {
+  std::size_t bytes = kRecordOverheadBytes + record.requestId.size();
+  for (const LoggedEdit& edit : record.edits) bytes += approximateBytes(*edit.entry);
+  return bytes;
+}
+
+std::optional<std::string> findFault(const std::vector<Edit>& edits) {
+  if (edits.empty()) return "a change without edits";
+  if (edits.size() > kMaxEditsPerChange) return "too many edits in a change";
+  std::set<EntryKey> keys;
+  std::size_t bytes = 0;
+  for (const Edit& edit : edits) {
+    if (static_cast<std::size_t>(edit.key.kind) >= kEntryKinds) return "an unknown kind of entry";
+    if (edit.key.name.empty()) return "an entry without a name";
+    if (edit.key.name.size() > kMaxNameBytes) return "a name is too long";
+    if (edit.value && edit.value->size() > kMaxValueBytes) return "a value is too long";
+    if (!keys.insert(edit.key).second) return "two edits of one entry";
+    bytes += kEntryOverheadBytes + edit.key.name.size() + (edit.value ? edit.value->size() : 0);
+  }
+  if (bytes > kMaxChangeBytes) return "the change is too large";
+  return std::nullopt;
+}
+
+}  // namespace burlwind::distribution
--- /dev/null
+++ b/src/distribution/limited_log.hpp
@@ -0,0 +1,33 @@
+// Log lines at a bounded rate; those left out are counted and the count goes with the next line.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "distribution/token_bucket.hpp"
+
+namespace burlwind::distribution {
+
+class LimitedLog {
+ public:
+  explicit LimitedLog(std::function<void(const std::string&)> write) : write_(std::move(write)) {}
+
+  void line(Milliseconds now, const std::string& text) {
+    if (!bucket_.available(now)) {
+      ++suppressed_;
+      return;
+    }
+    bucket_.take(now, 1);
+    write_(suppressed_ == 0 ? text : text + " suppressed=" + std::to_string(suppressed_));
+    suppressed_ = 0;
+  }
+
+ private:
+  static constexpr double kLinesPerSecond = 1, kBurstLines = 10;
+
+  std::function<void(const std::string&)> write_;
+  TokenBucket bucket_{kLinesPerSecond, kBurstLines};
+  std::uint64_t suppressed_ = 0;
+};
+
+}  // namespace burlwind::distribution
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -19,7 +19,7 @@
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure,duty,replica,watch}/*.cpp src/{node,pressure,duty,replica,watch}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/{node,pressure,duty,replica,watch,distribution}/*.cpp src/{node,pressure,duty,replica,watch,distribution}/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp \
   tools/lab/*.cpp tools/lab/*.hpp
 
 for kind in plain sanitize; do
