Lab: simulate the distribution of configuration to a fleet in virtual time

Need: what the core does at 8,400 gatekeepers, 18 control replicas and 64,000 entries must be measured, with faults, and kept from growing unseen.

Change: `wingslip-lab distribution` with the scenarios steady, replica_dies, writer_dies, zone_restart, zone_cold, regions_part, and `cost` (processor time and memory of one copy); a library that the tests share, with a small form (200 subscribers, 6 replicas, 2,000 entries) under ctest. Transfers go in parts of 8 KB at 15,500 B/s with a burst of 4 KB, and who holds nothing sends no hashes, so that a cold start stays below 17 KB/s over any ten seconds.

Failed before: the small zone_cold took 21,302 B/s over its worst ten seconds with the former burst of 64 KB and parts of 16 KB.

--- a/src/distribution/control_replica.cpp
+++ b/src/distribution/control_replica.cpp
@@ -281,7 +281,7 @@
   request.version = state_.committed();
   request.term = state_.committedTerm();
   request.transfer = random_() | 1;
-  request.hashes = state_.table().rangeHashes();
+  if (state_.table().size() > 0) request.hashes = state_.table().rangeHashes();
   repair_ = std::make_unique<TransferReceiver>(request.transfer, state_.table());
   repairFrom_ = peer;
   repairProgressAt_ = now;
--- a/src/distribution/message.cpp
+++ b/src/distribution/message.cpp
@@ -218,6 +218,7 @@
 std::vector<Hash> hashesOf(const json& value) {
   if (!value.is_binary()) throw CodecError("hashes are no byte string");
   const auto& bytes = value.get_binary();
+  if (bytes.empty()) return {};
   if (bytes.size() != EntryTable::kRanges * sizeof(Hash)) throw CodecError("a wrong number of hashes");
   std::vector<Hash> hashes(EntryTable::kRanges, 0);
   for (std::size_t i = 0; i < bytes.size(); ++i)
--- a/src/distribution/message.hpp
+++ b/src/distribution/message.hpp
@@ -56,7 +56,7 @@
   Version version = 0;
   Term term = 0;
   std::uint64_t transfer = 0;  // chosen by the asker, not 0
-  std::vector<Hash> hashes;    // EntryTable::kRanges of them
+  std::vector<Hash> hashes;    // EntryTable::kRanges of them; none: the asker holds nothing
 };
 
 struct RangeContent {
--- a/src/distribution/subscriber.cpp
+++ b/src/distribution/subscriber.cpp
@@ -254,7 +254,7 @@
   request.version = version_;
   request.term = term_;
   request.transfer = random_() | 1;
-  request.hashes = staged_->rangeHashes();
+  if (staged_->size() > 0) request.hashes = staged_->rangeHashes();
   repair_ = std::make_unique<TransferReceiver>(request.transfer, *staged_);
   state_ = State::connected;
   heardAt_ = now;
--- a/src/distribution/subscriber_sessions.hpp
+++ b/src/distribution/subscriber_sessions.hpp
@@ -13,8 +13,8 @@
 namespace burlwind::distribution {
 
 struct SessionLimits {
-  double bytesPerSecond = 16'000;  // to a subscriber
-  double burstBytes = 64 * 1024;
+  double bytesPerSecond = 15'500;  // to a subscriber
+  double burstBytes = 4 * 1024;
   double peerBytesPerSecond = 1'000'000;  // to another replica
   std::size_t maxSessions = 8'400;
   std::size_t maxTransfers = 500;           // under way at once; others are told to come again
--- a/src/distribution/transfer.cpp
+++ b/src/distribution/transfer.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 // A part is full when it has this many bytes; a range is never divided.
-constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::size_t kPartBytes = 8 * 1024;
 constexpr std::size_t kPartOverheadBytes = 64;
 constexpr std::size_t kRangeOverheadBytes = 8;
 
@@ -22,7 +22,8 @@
     : id_(request.transfer), table_(table), version_(version), term_(term), parts_(1) {
   std::size_t bytes = 0;
   for (std::uint32_t i = 0; i < EntryTable::kRanges; ++i) {
-    if (request.hashes[i] == table_.rangeHash(i)) continue;
+    const Hash held = request.hashes.empty() ? 0 : request.hashes[i];
+    if (held == table_.rangeHash(i)) continue;
     const std::size_t rangeBytes = bytesOf(table_.range(i));
     if (bytes > 0 && bytes + rangeBytes > kPartBytes) {
       parts_.emplace_back();
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "distribution_fleet.hpp"
+#include "distribution_simulation.hpp"
 
 namespace burlwind::distribution {
 namespace {
@@ -747,5 +748,99 @@
 TEST(DistributionSchedules, LossOfFivePercent) { runSchedules(0.05); }
 TEST(DistributionSchedules, LossOfTwentyPercent) { runSchedules(0.20); }
 
+// The small form of the simulation: counts and shape, no wall time.
+wingslip::lab::DistributionOptions smallFleet(wingslip::lab::DistributionScenario scenario) {
+  wingslip::lab::DistributionOptions options;
+  options.scenario = scenario;
+  options.regions = 3;
+  options.zones = 6;
+  options.subscribers = 200;
+  options.entries = 2'000;
+  options.meanSeconds = 120;
+  options.stormSeconds = 30;
+  return options;
+}
+
+constexpr double kMaxEverywhereMs = 18'000;
+constexpr double kMaxBytesPerSecond = 17'000;
+
+void expectKept(const wingslip::lab::DistributionResult& result) {
+  EXPECT_EQ(result.differingCopies, 0u);
+  EXPECT_EQ(result.conflicts, 0u);
+  EXPECT_EQ(result.recovered, result.restarted);
+  for (const auto& phase : result.phases) {
+    EXPECT_GT(phase.changes, 0u) << phase.name;
+    EXPECT_EQ(phase.uncommitted, 0u) << phase.name;
+    EXPECT_LE(phase.everywhere.worst, kMaxEverywhereMs) << phase.name;
+    EXPECT_LE(phase.subscriber.worstTenSecondBytes, kMaxBytesPerSecond) << phase.name;
+  }
+}
+
+TEST(DistributionSimulation, EveryChangeReachesEveryGatekeeperOnce) {
+  const auto result = simulateDistribution(smallFleet(wingslip::lab::DistributionScenario::steady));
+  expectKept(result);
+  for (const auto& phase : result.phases) {
+    EXPECT_EQ(phase.deliveries, phase.changes * 200) << phase.name;
+    EXPECT_LE(phase.messagesPerChangeAndSubscriber, 2.3) << phase.name;
+    EXPECT_LE(phase.bytesPerChangeAndSubscriber, 350) << phase.name;
+  }
+  // A storm is taken in batches: fewer messages a change.
+  EXPECT_LT(result.phases[1].messagesPerChangeAndSubscriber, result.phases[0].messagesPerChangeAndSubscriber);
+}
+
+TEST(DistributionSimulation, WhatAChangeCostsDoesNotGrowWithEntriesOrSubscribers) {
+  const auto options = smallFleet(wingslip::lab::DistributionScenario::steady);
+  auto moreEntries = options, moreSubscribers = options;
+  moreEntries.entries = 16'000;
+  moreSubscribers.subscribers = 800;
+  const auto base = simulateDistribution(options).phases[0];
+  for (const auto& other :
+       {simulateDistribution(moreEntries).phases[0], simulateDistribution(moreSubscribers).phases[0]}) {
+    EXPECT_NEAR(other.bytesPerChangeAndSubscriber, base.bytesPerChangeAndSubscriber,
+                0.1 * base.bytesPerChangeAndSubscriber);
+    EXPECT_NEAR(other.messagesPerChangeAndSubscriber, base.messagesPerChangeAndSubscriber, 0.2);
+    const double baseBytes = base.subscriber.meanBytesIn + base.subscriber.meanBytesOut;
+    EXPECT_NEAR(other.subscriber.meanBytesIn + other.subscriber.meanBytesOut, baseBytes, 0.25 * baseBytes);
+  }
+}
+
+TEST(DistributionSimulation, ALostReplicaOrWriterDelaysWithinTheBound) {
+  using wingslip::lab::DistributionScenario;
+  for (const auto scenario : {DistributionScenario::replica_dies, DistributionScenario::writer_dies}) {
+    auto options = smallFleet(scenario);
+    options.meanSeconds = 180;
+    const auto result = simulateDistribution(options);
+    expectKept(result);
+    EXPECT_GE(result.failovers, 33u);  // a zone's subscribers
+    EXPECT_EQ(result.repairs, 0u);
+  }
+}
+
+TEST(DistributionSimulation, AZoneThatStartsAtOnceComesUpToDate) {
+  using wingslip::lab::DistributionScenario;
+  const auto warm = simulateDistribution(smallFleet(DistributionScenario::zone_restart));
+  expectKept(warm);
+  EXPECT_GE(warm.restarted, 33u);
+  EXPECT_EQ(warm.repairs, 0u);
+  const auto cold = simulateDistribution(smallFleet(DistributionScenario::zone_cold));
+  expectKept(cold);
+  EXPECT_GE(cold.repairs, 33u);
+  EXPECT_LT(50 * warm.restartedMeanBytes, cold.restartedMeanBytes);
+  EXPECT_LT(cold.restartedMeanBytes, 1.3 * cold.wholeFileBytes);
+}
+
+TEST(DistributionSimulation, PartedRegionsHearThroughAThird) {
+  auto options = smallFleet(wingslip::lab::DistributionScenario::regions_part);
+  options.meanSeconds = 400;
+  expectKept(simulateDistribution(options));
+}
+
+TEST(DistributionSimulation, TheSameSeedGivesTheSameRun) {
+  const auto options = smallFleet(wingslip::lab::DistributionScenario::steady);
+  const auto first = simulateDistribution(options), second = simulateDistribution(options);
+  EXPECT_EQ(first.phases[1].subscriber.meanBytesIn, second.phases[1].subscriber.meanBytesIn);
+  EXPECT_EQ(first.phases[1].everywhere.worst, second.phases[1].everywhere.worst);
+}
+
 }  // namespace
 }  // namespace burlwind::distribution
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "distribution_run.hpp"
 #include "fleet.hpp"
 
 int main(int argc, char** argv) {
@@ -32,6 +33,7 @@
   std::string reportDir;
   CLI::App* report = app.add_subcommand("report", "print the summary of an earlier run");
   report->add_option("dir", reportDir, "the run's --out folder")->required();
+  wingslip::lab::addDistributionCommand(app);
   CLI11_PARSE(app, argc, argv);
   spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
