Test control replicas that went back, lag, are cut off, differ, or lost the majority

Need: these cases were covered by the seeded schedules only together.

Change: five unit tests with three replicas in virtual time.

--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -748,6 +748,152 @@
 TEST(DistributionSchedules, LossOfFivePercent) { runSchedules(0.05); }
 TEST(DistributionSchedules, LossOfTwentyPercent) { runSchedules(0.20); }
 
+// Three replicas whose messages take no time; `cut` holds pairs that do not reach each other.
+struct ThreeReplicas {
+  struct Node : ReplicaRecorder {
+    Milliseconds unixTime() override { return 1'000'000 + *now; }
+    const Milliseconds* now = nullptr;
+    std::unique_ptr<ControlReplica> core;
+  };
+  explicit ThreeReplicas(const ReplicaLimits& replicaLimits = {}) : limits(replicaLimits) {
+    for (int i = 0; i < 3; ++i) begin(i, Snapshot{});
+  }
+  void begin(int i, const Snapshot& disk) {
+    std::vector<std::string> peers;
+    for (int j = 0; j < 3; ++j)
+      if (j != i) peers.push_back("r" + std::to_string(j));
+    nodes[i].now = &now;
+    nodes[i].core = std::make_unique<ControlReplica>(limits, "r" + std::to_string(i), peers, i + 1, nodes[i]);
+    nodes[i].core->restore(disk);
+  }
+  void run(Milliseconds until) {
+    for (; now <= until; now += 100) {
+      for (Node& node : nodes) node.core->tick(now);
+      for (int round = 0; round < 10; ++round)
+        for (int i = 0; i < 3; ++i) deliverFrom(i);
+    }
+  }
+  void deliverFrom(int i) {
+    for (const auto& [to, message] : std::exchange(nodes[i].sent, {})) {
+      const int j = to[1] - '0';
+      if (to[0] != 'r' || cut.contains({std::min(i, j), std::max(i, j)})) continue;
+      nodes[j].core->receive(now, "r" + std::to_string(i), message);
+    }
+  }
+  PublishResult put(int i, const std::string& id) {
+    return nodes[i].core->publish(now, id, {{route("name-" + id), "value"}});
+  }
+
+  ReplicaLimits limits;
+  Milliseconds now = 100;
+  std::array<Node, 3> nodes;
+  std::set<std::pair<int, int>> cut;
+};
+
+TEST(DistributionReplica, OneThatWentBackToAnOlderLogRefusesWhoIsAheadAndCatchesUp) {
+  ThreeReplicas fleet;
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(1000);
+  fleet.put(0, "a");
+  fleet.run(2000);
+  const Snapshot older = fleet.nodes[2].core->state().snapshot();
+  fleet.put(0, "b");
+  fleet.put(0, "c");
+  fleet.run(4000);
+  const Version newest = fleet.nodes[0].core->state().committed();
+  fleet.begin(2, older);
+  fleet.nodes[2].core->receive(fleet.now, "s0", Subscribe{newest, 1, "build"});
+  ASSERT_NE(lastOf<Refused>(fleet.nodes[2].sent), nullptr);
+  EXPECT_EQ(lastOf<Refused>(fleet.nodes[2].sent)->code, RefusalCode::subscriber_ahead);
+  fleet.run(6000);
+  EXPECT_EQ(fleet.nodes[2].core->state().committed(), newest);
+  EXPECT_EQ(fleet.nodes[2].core->state().table().rootHash(), fleet.nodes[0].core->state().table().rootHash());
+}
+
+TEST(DistributionReplica, OneBehindTheHorizonIsRepairedByAPeer) {
+  ReplicaLimits limits;
+  limits.maxUncommitted = 8;
+  limits.maxRecords = 10;
+  ThreeReplicas fleet(limits);
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(1000);
+  fleet.cut = {{0, 2}, {1, 2}};
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_NE(fleet.put(0, "q" + std::to_string(i)).status, PublishStatus::busy);
+    fleet.run(fleet.now + 100);
+  }
+  fleet.cut.clear();
+  fleet.run(fleet.now + 10'000);
+  EXPECT_EQ(fleet.nodes[2].core->counts().repairsDone, 1u);
+  EXPECT_EQ(fleet.nodes[2].core->state().committed(), fleet.nodes[0].core->state().committed());
+  EXPECT_EQ(fleet.nodes[2].core->state().table().rootHash(), fleet.nodes[0].core->state().table().rootHash());
+}
+
+TEST(DistributionReplica, CutOffFromTheWriterItCopiesFromAPeerOrSaysHowStaleItIs) {
+  ThreeReplicas fleet;
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(5000);
+  const ReplicaState& state = fleet.nodes[2].core->state();
+  fleet.cut = {{0, 2}};
+  fleet.put(0, "a");
+  fleet.run(15'000);
+  EXPECT_EQ(state.committed(), fleet.nodes[0].core->state().committed());
+  EXPECT_GT(state.writerTime(), 1'000'000 + 10'000);
+  fleet.cut = {{0, 2}, {1, 2}};
+  const Milliseconds newestWord = state.writerTime();
+  fleet.put(0, "b");
+  fleet.run(60'000);
+  EXPECT_EQ(state.writerTime(), newestWord);
+  EXPECT_LT(state.committed(), fleet.nodes[0].core->state().committed());
+  // It serves on, and its subscribers hear the age.
+  fleet.nodes[2].sent.clear();
+  fleet.nodes[2].core->receive(fleet.now, "s0", Subscribe{state.committed(), state.committedTerm(), "build"});
+  ASSERT_NE(lastOf<Changes>(fleet.nodes[2].sent), nullptr);
+  EXPECT_EQ(lastOf<Changes>(fleet.nodes[2].sent)->writerTime, newestWord);
+}
+
+TEST(DistributionReplica, AWriterWithoutAMajorityStopsTakingChangesAndItsWordAges) {
+  ThreeReplicas fleet;
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(5000);
+  fleet.cut = {{0, 1}, {0, 2}};
+  const Milliseconds newestWord = fleet.nodes[0].core->state().writerTime();
+  EXPECT_EQ(fleet.put(0, "a").status, PublishStatus::pending);
+  fleet.run(20'000);
+  EXPECT_EQ(fleet.put(0, "b").status, PublishStatus::busy);
+  EXPECT_EQ(fleet.nodes[0].core->state().writerTime(), newestWord);
+  EXPECT_TRUE(fleet.nodes[0].committed.empty());
+  // The others go on; the old one follows once it reaches them, and its change was never made.
+  ASSERT_TRUE(fleet.nodes[1].core->becomeWriter(fleet.now, 2));
+  fleet.run(22'000);
+  fleet.put(1, "c");
+  fleet.run(24'000);
+  fleet.cut.clear();
+  fleet.run(30'000);
+  EXPECT_FALSE(fleet.nodes[0].core->isWriter());
+  EXPECT_EQ(fleet.nodes[0].core->state().table().find(route("name-a")), nullptr);
+  EXPECT_NE(fleet.nodes[0].core->state().table().find(route("name-c")), nullptr);
+  EXPECT_EQ(fleet.nodes[0].core->counts().conflictingHistories, 0u);
+}
+
+TEST(DistributionReplica, ACopyThatDiffersIsFoundAtTheNextChangeAndRepairedBeforeItServes) {
+  ThreeReplicas fleet;
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(1000);
+  fleet.put(0, "a");
+  fleet.run(2000);
+  Snapshot differing = fleet.nodes[2].core->state().snapshot();
+  differing.table.put(makeEntry(route("name-a"), "differs", 2, 1));
+  fleet.begin(2, differing);
+  fleet.put(0, "b");
+  fleet.run(8000);
+  EXPECT_EQ(fleet.nodes[2].core->counts().tableDiffers, 1u);
+  EXPECT_EQ(fleet.nodes[2].core->counts().repairsDone, 1u);
+  EXPECT_EQ(fleet.nodes[2].core->state().table().rootHash(), fleet.nodes[0].core->state().table().rootHash());
+  fleet.nodes[2].core->receive(fleet.now, "s0", Subscribe{0, 0, "build"});
+  EXPECT_EQ(lastOf<Refused>(fleet.nodes[2].sent), nullptr);
+}
+
 // The small form of the simulation: counts and shape, no wall time.
 wingslip::lab::DistributionOptions smallFleet(wingslip::lab::DistributionScenario scenario) {
   wingslip::lab::DistributionOptions options;
