Distribution: repair a replica's table that does not fit its log before it is served

Need: a replica that started with a differing table served it until the next commit, and went on sending to its sessions while it was under repair, so that subscribers took the wrong table over a right one.

Change: the table is compared with the root hash of the log's record at the start; while a copy is under repair nothing is sent, and a repair that was refused is asked for again.

--- a/src/distribution/control_replica.cpp
+++ b/src/distribution/control_replica.cpp
@@ -19,6 +19,13 @@
             outside.refused(subscriber, refusal);
           }) {}
 
+void ControlReplica::restore(const Snapshot& snapshot) {
+  state_.restore(snapshot);
+  if (state_.tableFitsLog()) return;
+  ++counts_.tableDiffers;
+  sessions_.setServing(false);
+}
+
 bool ControlReplica::becomeWriter(Milliseconds now, Term term) {
   if (term <= state_.promisedTerm()) return false;
   state_.promise(term);
@@ -56,6 +63,8 @@
 void ControlReplica::tick(Milliseconds now) {
   if (writer_) writer_->tick(now, outside_.unixTime());
   if (repair_ && now - repairProgressAt_ > limits_.repairTimeout) repair_.reset();
+  if (!repair_ && now >= fetchAt_ && !sessions_.serving() && !peers_.empty())
+    requestRepair(now, peers_[random_() % peers_.size()]);
   if (!repair_ && now >= fetchAt_ && !hearsWriter(now)) fetchFromPeer(now);
   sessions_.tick(now);
 }
@@ -285,6 +294,7 @@
   repair_ = std::make_unique<TransferReceiver>(request.transfer, state_.table());
   repairFrom_ = peer;
   repairProgressAt_ = now;
+  fetchAt_ = now + limits_.fetchInterval;
   ++counts_.repairs;
   outside_.send(peer, std::move(request));
 }
--- a/src/distribution/control_replica.hpp
+++ b/src/distribution/control_replica.hpp
@@ -46,8 +46,9 @@
   ControlReplica(const ReplicaLimits& limits, const std::string& name, const std::vector<std::string>& peers,
                  std::uint64_t seed, Outside& outside);
 
-  // What was on disk, before anything else.
-  void restore(const Snapshot& snapshot) { state_.restore(snapshot); }
+  // What was on disk, before anything else. A table that does not fit its log is repaired before it is
+  // served.
+  void restore(const Snapshot& snapshot);
   const ReplicaState& state() const { return state_; }
 
   // This replica is the writer of `term` from now on. False: a later or the same term was promised already.
--- a/src/distribution/replica_state.cpp
+++ b/src/distribution/replica_state.cpp
@@ -52,6 +52,11 @@
   log_.reset(version, term);
 }
 
+bool ReplicaState::tableFitsLog() const {
+  if (committed_ <= log_.base() || committed_ > log_.lastVersion()) return true;
+  return log_.at(committed_)->rootHash == table_.rootHash();
+}
+
 Snapshot ReplicaState::snapshot() const {
   Snapshot out;
   out.version = committed_;
--- a/src/distribution/replica_state.hpp
+++ b/src/distribution/replica_state.hpp
@@ -38,6 +38,9 @@
 
   void compact(std::size_t maxRecords) { log_.compact(committed_, maxRecords); }
 
+  // Whether the table has the hash that the log says at the committed version, as far as the log has it.
+  bool tableFitsLog() const;
+
   Snapshot snapshot() const;
   void restore(const Snapshot& snapshot);
 
--- a/src/distribution/subscriber_sessions.cpp
+++ b/src/distribution/subscriber_sessions.cpp
@@ -103,6 +103,10 @@
       place = sessions_.erase(place);
       continue;
     }
+    if (!serving_) {
+      ++place;
+      continue;
+    }
     resendIfStuck(now, session);
     if (session.transfer) sendParts(now, name, session);
     if (session.streaming && flush) sendChanges(now, name, session);
--- a/src/distribution/subscriber_sessions.hpp
+++ b/src/distribution/subscriber_sessions.hpp
@@ -44,6 +44,7 @@
 
   // While this replica's own copy is under repair nothing is served.
   void setServing(bool serving) { serving_ = serving; }
+  bool serving() const { return serving_; }
 
   void receive(Milliseconds now, const std::string& from, const Subscribe& subscribe);
   void receive(Milliseconds now, const std::string& from, const Acknowledge& acknowledge);
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -876,7 +876,7 @@
   EXPECT_EQ(fleet.nodes[0].core->counts().conflictingHistories, 0u);
 }
 
-TEST(DistributionReplica, ACopyThatDiffersIsFoundAtTheNextChangeAndRepairedBeforeItServes) {
+TEST(DistributionReplica, ACopyThatDoesNotFitItsLogIsRepairedBeforeItServes) {
   ThreeReplicas fleet;
   ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
   fleet.run(1000);
@@ -885,6 +885,9 @@
   Snapshot differing = fleet.nodes[2].core->state().snapshot();
   differing.table.put(makeEntry(route("name-a"), "differs", 2, 1));
   fleet.begin(2, differing);
+  fleet.nodes[2].core->receive(fleet.now, "s0", Subscribe{0, 0, "build"});
+  ASSERT_NE(lastOf<Refused>(fleet.nodes[2].sent), nullptr);
+  EXPECT_EQ(lastOf<Refused>(fleet.nodes[2].sent)->code, RefusalCode::not_serving);
   fleet.put(0, "b");
   fleet.run(8000);
   EXPECT_EQ(fleet.nodes[2].core->counts().tableDiffers, 1u);
@@ -894,6 +897,27 @@
   EXPECT_EQ(lastOf<Refused>(fleet.nodes[2].sent), nullptr);
 }
 
+TEST(DistributionReplica, ACopyThatDiffersWithoutItsLogIsFoundAtTheNextChange) {
+  ThreeReplicas fleet;
+  ASSERT_TRUE(fleet.nodes[0].core->becomeWriter(fleet.now, 1));
+  fleet.run(1000);
+  fleet.put(0, "a");
+  fleet.run(2000);
+  Snapshot differing = fleet.nodes[2].core->state().snapshot();
+  differing.table.put(makeEntry(route("name-a"), "differs", 2, 1));
+  differing.logBase = differing.version;
+  differing.logBaseTerm = differing.term;
+  differing.records.clear();
+  fleet.begin(2, differing);
+  fleet.run(3000);
+  EXPECT_EQ(fleet.nodes[2].core->counts().tableDiffers, 0u);
+  fleet.put(0, "b");
+  fleet.run(8000);
+  EXPECT_GE(fleet.nodes[2].core->counts().tableDiffers, 1u);
+  EXPECT_EQ(fleet.nodes[2].core->counts().repairsDone, 1u);
+  EXPECT_EQ(fleet.nodes[2].core->state().table().rootHash(), fleet.nodes[0].core->state().table().rootHash());
+}
+
 // The small form of the simulation: counts and shape, no wall time.
 wingslip::lab::DistributionOptions smallFleet(wingslip::lab::DistributionScenario scenario) {
   wingslip::lab::DistributionOptions options;
