Lab: `scale` measures how each mechanism grows, each size in a bounded process

Need: the target (8,400 gatekeepers, 86,000 workers, 64,000 routes) is far past what can be run here, so what a mechanism needs there has to come from measured slopes, and from one command that anyone can repeat.

Change: a runner that measures each mechanism at rising sizes in a child process of its own (ended at its time or memory), and cases for the module called directly, texts read, hollow members of the shared state and hollow candidates in virtual time, watches in virtual time, and burlwind processes on loopback.

The quick and full forms have not been run to their end yet.

--- /dev/null
+++ b/tools/lab/hollow_replica.cpp
@@ -0,0 +1,170 @@
+#include "hollow_replica.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace wingslip::lab {
+
+using burlwind::replica::Health;
+using burlwind::replica::MemberRow;
+using burlwind::replica::Message;
+using burlwind::replica::Replica;
+using burlwind::replica::Row;
+using burlwind::replica::Timing;
+
+namespace {
+
+constexpr const char* kFleet = "scale";
+constexpr std::size_t kRowBytes = 100;  // of a row's value
+constexpr std::int64_t kUnixStart = 1'000'000'000'000;
+constexpr double kLeastDelay = 0.2, kMostDelay = 2;  // ms, one way
+
+std::string nameFor(std::size_t index) { return "gatekeeper-" + std::to_string(index); }
+
+MemberRow rowFor(std::size_t index, std::uint64_t generation) {
+  MemberRow out;
+  out.name = nameFor(index);
+  out.address = "10.0." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":7946";
+  out.generation = generation;
+  return out;
+}
+
+Row storedRow(std::size_t index) {
+  Row out;
+  out.table = "t";
+  out.key = "key-" + std::to_string(index);
+  out.value = std::string(kRowBytes, 'v');
+  out.stamp.ms = kUnixStart - 1000;
+  out.stamp.count = static_cast<std::uint32_t>(index);
+  out.stamp.origin = nameFor(0);
+  return out;
+}
+
+}  // namespace
+
+struct HollowReplicas::Member : Replica::Outside {
+  Member(HollowReplicas& f, std::size_t i) : fleet(f), index(i) {}
+
+  void begin(const std::vector<MemberRow>& members, const std::vector<Row>& rows) {
+    ++generation;
+    core = std::make_unique<Replica>(Timing{}, kFleet, rowFor(index, generation),
+                                     std::map<std::string, std::string>{}, fleet.random_(), *this);
+    core->restore(members, rows);
+    core->start(fleet.now_);
+    arm();
+  }
+  void arm() {
+    const Time next = core->nextAt();
+    if (!std::isfinite(next)) return;
+    const std::uint64_t mine = ++armed;
+    fleet.at(next, [this, mine] {
+      if (mine != armed) return;
+      core->tick(fleet.now_);
+      arm();
+    });
+  }
+  void send(const Replica::Send& what) override { fleet.carry(*this, what); }
+  void changed(const Row& row) override {
+    fleet.heard_ += row.key == "new-" + std::to_string(fleet.written_);
+  }
+  void told(const std::string&) override {}
+  std::int64_t unixMs() const override { return kUnixStart + static_cast<std::int64_t>(fleet.now_); }
+
+  HollowReplicas& fleet;
+  std::size_t index;
+  std::uint64_t generation = 0, armed = 0;
+  std::unique_ptr<Replica> core;
+};
+
+HollowReplicas::HollowReplicas(std::size_t members, std::size_t rows, std::uint64_t seed) : random_(seed) {
+  std::vector<MemberRow> all;
+  for (std::size_t i = 0; i < members; ++i) all.push_back(rowFor(i, 1));
+  std::vector<Row> stored;
+  for (std::size_t i = 0; i < rows; ++i) stored.push_back(storedRow(i));
+  for (std::size_t i = 0; i < members; ++i) {
+    members_.push_back(std::make_unique<Member>(*this, i));
+    members_.back()->begin(all, stored);
+  }
+}
+
+HollowReplicas::~HollowReplicas() = default;
+
+void HollowReplicas::at(Time when, std::function<void()> what) {
+  events_.push({std::max(when, now_), ++order_, std::move(what)});
+}
+
+HollowReplicas::Time HollowReplicas::delay() {
+  return std::uniform_real_distribution<Time>(kLeastDelay, kMostDelay)(random_);
+}
+
+void HollowReplicas::run(Time milliseconds) {
+  const Time until = now_ + milliseconds;
+  while (!events_.empty() && events_.top().at <= until) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.what();
+  }
+  now_ = until;
+}
+
+void HollowReplicas::carry(Member& from, const Replica::Send& send) {
+  const std::vector<std::uint8_t> request = burlwind::replica::encode(send.message);
+  ++traffic_.messages;
+  traffic_.bytes += request.size();
+  const std::size_t to = std::stoul(send.name.substr(send.name.rfind('-') + 1));
+  const std::uint64_t id = send.id, generation = from.generation;
+  at(now_ + delay(), [this, &from, to, id, generation, request] {
+    Member& member = *members_[to];
+    const auto answer =
+        member.core->received(now_, burlwind::replica::decode(request.data(), request.size()));
+    member.arm();
+    std::optional<Message> heard;
+    if (answer) {
+      const std::vector<std::uint8_t> text = burlwind::replica::encode(*answer);
+      ++traffic_.messages;
+      traffic_.bytes += text.size();
+      heard = burlwind::replica::decode(text.data(), text.size());
+    }
+    at(now_ + delay(), [this, &from, id, generation, heard] {
+      if (from.generation != generation) return;  // asked by a process that is gone
+      from.core->answered(now_, id, heard);
+      from.arm();
+    });
+  });
+}
+
+void HollowReplicas::writeRow() {
+  ++written_;
+  heard_ = 1;  // the writer
+  Member& writer = *members_.front();
+  writer.core->set(now_, "t", "new-" + std::to_string(written_), std::string(kRowBytes, 'n'));
+  writer.arm();
+}
+
+HollowReplicas::Time HollowReplicas::runUntilEverywhere(Time most) {
+  constexpr Time kStep = 10;
+  const Time start = now_;
+  while (heard_ < members_.size() && now_ - start < most) run(kStep);
+  return now_ - start;
+}
+
+void HollowReplicas::restartLast() {
+  Member& last = *members_.back();
+  std::vector<MemberRow> known;
+  for (const auto& [name, member] : last.core->members()) known.push_back(member.row);
+  const std::vector<Row> rows = last.core->rows();
+  last.begin(known, rows);
+}
+
+std::size_t HollowReplicas::leastAlive() const {
+  std::size_t out = members_.size();
+  for (const auto& member : members_) out = std::min(out, member->core->alive());
+  return out;
+}
+
+std::size_t HollowReplicas::rowsHeld() const { return members_.front()->core->rows().size(); }
+
+}  // namespace wingslip::lab
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "fleet.hpp"
+#include "scale_command.hpp"
 
 int main(int argc, char** argv) {
   CLI::App app{"wingslip-lab: plays a scenario of faults against several burlwind processes on 127.0.0.1"};
@@ -32,6 +33,7 @@
   std::string reportDir;
   CLI::App* report = app.add_subcommand("report", "print the summary of an earlier run");
   report->add_option("dir", reportDir, "the run's --out folder")->required();
+  wingslip::lab::addScaleCommands(app, options.burlwind);
   CLI11_PARSE(app, argc, argv);
   spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
--- /dev/null
+++ b/tools/lab/scale_cases.cpp
@@ -0,0 +1,16 @@
+#include "scale_cases.hpp"
+
+#include <iterator>
+
+namespace wingslip::lab {
+
+std::vector<ScaleCase> allScaleCases() {
+  std::vector<ScaleCase> out;
+  for (auto cases : {decisionCases, readingCases, replicaCases, dutyCases, watchCases}) {
+    std::vector<ScaleCase> some = cases();
+    std::move(some.begin(), some.end(), std::back_inserter(out));
+  }
+  return out;
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scale_cases_decision.cpp
@@ -0,0 +1,238 @@
+// Scale cases of the decision module, called directly.
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+
+#include "probe.hpp"
+#include "scale_cases.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+using irisring::Gateway;
+using irisring::ListKind;
+using irisring::Member;
+using irisring::Phase;
+using irisring::Time;
+
+constexpr int kRepeats = 5;
+constexpr double kLeastTimedS = 0.02;  // a call shorter than this is repeated and divided
+constexpr std::uint64_t kSalt = 7;
+constexpr Time kStart = 1e6;      // ms; workers that started at 0 are warm by then
+constexpr Time kDeadline = 3000;  // ms
+constexpr Time kAnswerTime = 20;  // ms
+constexpr unsigned kSpread = 32;  // gatekeepers that a customer's requests come through
+constexpr int kChoices = 2000;    // requests of one measurement
+constexpr std::size_t kSetsOfCustomers = 1000;
+
+// Carries nothing out; keeps the last attempt.
+class Sink : public irisring::Actions {
+ public:
+  void send(irisring::RequestId id, irisring::WorkerId worker, Time) override {
+    sentId = id;
+    sentWorker = worker;
+    ++sends;
+  }
+  void refuse(irisring::RequestId, Time) override {}
+  void fail(irisring::RequestId) override {}
+  void setTimer(Time, std::uint64_t) override {}
+  void subscribe() override {}
+  void log(const std::string&) override {}
+
+  irisring::RequestId sentId = 0;
+  irisring::WorkerId sentWorker = 0;
+  long sends = 0;
+};
+
+// One module with its sink and clock.
+class Module {
+ public:
+  explicit Module(std::size_t classes = 3) : gateway(settingsWith(classes), kSalt, kStart, sink) {}
+
+  // Asks for one request and answers it well.
+  void serve(irisring::CustomerId customer) {
+    now += 1;
+    irisring::Request request;
+    request.id = ++last;
+    request.klass = 0;
+    request.customer = customer;
+    request.expires = now + kDeadline;
+    request.setSize = kSpread;
+    gateway.request(now, request);
+    if (sink.sentId != last) return;
+    irisring::Outcome outcome;
+    outcome.id = last;
+    outcome.result = irisring::Result::ok;
+    outcome.worker = sink.sentWorker;
+    outcome.elapsed = kAnswerTime;
+    outcome.finished = true;
+    gateway.outcome(now, outcome);
+  }
+
+  Time now = kStart;
+  irisring::RequestId last = 0;
+  Sink sink;
+  Gateway gateway;
+};
+
+std::vector<Figure> measureChoice(std::size_t workers, const CaseLimits&) {
+  Module module;
+  module.gateway.members(module.now, ListKind::full, workersFor(workers));
+  const auto serveMany = [&] {
+    for (int i = 0; i < kChoices; ++i) module.serve(1 + module.last % kSetsOfCustomers);
+  };
+  serveMany();
+  const double seconds = leastProcessor(kRepeats, serveMany);
+  if (module.sink.sends < kChoices) throw std::runtime_error("most requests found no worker");
+  return {{"processor", "s", seconds / kChoices}};
+}
+
+std::vector<Figure> measureOneChange(std::size_t workers, const CaseLimits&) {
+  Module module;
+  std::vector<Member> list = workersFor(workers);
+  module.gateway.members(module.now, ListKind::full, list);
+  std::size_t at = 0;
+  const auto change = [&] {
+    Member& member = list[at++ % list.size()];
+    member.phase = member.phase == Phase::ready ? Phase::draining : Phase::ready;
+    module.now += 1;
+    module.gateway.members(module.now, ListKind::delta, {member});
+  };
+  const double once = std::max(leastProcessor(1, change), 1e-9);
+  const int each = static_cast<int>(std::clamp(kLeastTimedS / once, 1.0, 1000.0));
+  const double seconds = leastProcessor(kRepeats, [&] {
+    for (int i = 0; i < each; ++i) change();
+  });
+  return {{"processor", "s", seconds / each}};
+}
+
+// A zone's part of the list leaves in one message, and comes back in another.
+std::vector<Figure> measureZoneChange(std::size_t workers, const CaseLimits&) {
+  Module module;
+  module.gateway.members(module.now, ListKind::full, workersFor(workers));
+  std::vector<Member> zone;
+  for (const Member& member : workersFor(workers))
+    if (member.zone == 0) zone.push_back(member);
+  const auto tell = [&](Phase phase) {
+    for (Member& member : zone) member.phase = phase;
+    module.now += 1;
+    module.gateway.members(module.now, ListKind::delta, zone);
+  };
+  const double seconds = leastProcessor(2, [&] {
+    tell(Phase::gone);
+    tell(Phase::ready);
+  });
+  return {{"processor", "s", seconds}};
+}
+
+std::vector<Figure> measureWholeList(std::size_t workers, const CaseLimits&) {
+  const std::vector<Member> list = workersFor(workers);
+  double seconds = 0, held = 0;
+  for (int i = 0; i < 2; ++i) {
+    Module module;
+    const double heapBefore = heapBytes();
+    const double start = processorSeconds();
+    module.gateway.members(module.now, ListKind::full, list);
+    const double took = processorSeconds() - start;
+    held = heapBytes() - heapBefore;
+    seconds = i == 0 ? took : std::min(seconds, took);
+  }
+  return {{"processor", "s", seconds}, {"held", "B", std::max(held, 0.0)}};
+}
+
+std::vector<Figure> measureSettings(std::size_t classes, const CaseLimits&) {
+  Module module(classes);
+  irisring::Settings changed = settingsWith(classes);
+  const double seconds = leastProcessor(2, [&] {
+    changed.classes.back().worth += 1;
+    module.now += 1;
+    module.gateway.settings(module.now, changed);
+  });
+  return {{"processor", "s", seconds}};
+}
+
+std::vector<Figure> measureCustomers(std::size_t customers, const CaseLimits&) {
+  constexpr std::size_t kWorkers = 100;
+  Module module;
+  module.gateway.members(module.now, ListKind::full, workersFor(kWorkers));
+  const double heapBefore = heapBytes();
+  for (std::size_t c = 1; c <= customers; ++c) module.serve(c);
+  const double held = heapBytes() - heapBefore;
+  return {{"held", "B", std::max(held, 0.0)},
+          {"rows", "rows", static_cast<double>(module.gateway.customersHeld())}};
+}
+
+// Far more customers than it holds: how many rows stay.
+std::vector<Figure> measureCustomerCap(std::size_t customers, const CaseLimits& limits) {
+  return {{"rows", "rows", measureCustomers(customers, limits).back().value}};
+}
+
+}  // namespace
+
+std::vector<Member> workersFor(std::size_t count) {
+  std::vector<Member> out(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    out[i].worker = i + 1;
+    out[i].zone = static_cast<unsigned>(i % kZones);
+  }
+  return out;
+}
+
+irisring::Settings settingsWith(std::size_t classes) {
+  irisring::Settings out;
+  out.gateways = kTargetGatekeepers;
+  out.maxAttempts = 3;
+  out.maxRetryAfter = 2000;
+  out.meterPeriod = 1000;
+  out.drainGrace = 2000;
+  out.coldFrom = 0.2;
+  out.warmUp = 10000;
+  out.fallMultiple = 2;
+  out.fallSpan = 1000;
+  for (std::size_t i = 0; i < classes; ++i) {
+    irisring::ClassSettings one;
+    one.name = "class" + std::to_string(i);
+    one.aim = 1000;
+    one.deadline = kDeadline;
+    one.repeat = irisring::Repeat::safe;
+    out.classes.push_back(one);
+  }
+  irisring::PlanSettings plan;
+  plan.name = "plan";
+  plan.rate = 1e6;
+  plan.burst = 1e9;
+  out.plans = {plan};
+  return out;
+}
+
+std::vector<ScaleCase> decisionCases() {
+  using Sizes = std::vector<std::size_t>;
+  const Sizes listCheck{50, 100, 200, 400};
+  const Sizes listQuick{500, 1000, 2000, 4000, 8000};
+  const Sizes listFull{500, 1000, 2000, 5000, 10000, 20000, 40000, 86000};
+  const Sizes classFull{250, 500, 1000, 2000, 4000, 8000, 16000, 32000, 64000};
+  return {
+      {"choice", "workers listed", RunKind::core, listCheck, listQuick, listFull, measureChoice},
+      {"worker_change", "workers listed", RunKind::core, listCheck, listQuick, listFull, measureOneChange},
+      {"zone_change", "workers listed", RunKind::core, listCheck, listQuick, listFull, measureZoneChange},
+      {"whole_list", "workers listed", RunKind::core, listCheck, listQuick, listFull, measureWholeList},
+      {"settings",
+       "classes",
+       RunKind::core,
+       {25, 50, 100, 200},
+       {250, 500, 1000, 2000, 4000},
+       classFull,
+       measureSettings},
+      {"customers",
+       "customers met",
+       RunKind::core,
+       {50, 100, 200, 400},
+       {500, 1000, 2000, 4000},
+       {500, 1000, 2000, 3000, 4000},
+       measureCustomers},
+      {"customer_cap", "customers met", RunKind::core, {5000}, {20000}, {20000}, measureCustomerCap},
+  };
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scale_cases_duty.cpp
@@ -0,0 +1,60 @@
+// Scale cases of duties, on hollow candidates before the stand-in coordination store in virtual time.
+#include <stdexcept>
+
+#include "hollow_duty.hpp"
+#include "probe.hpp"
+#include "scale_cases.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+constexpr std::uint64_t kSeed = 1;
+constexpr double kSettleEachMs = 40;   // a candidate: asks are spread over 20 ms each at first
+constexpr double kSettleMs = 60000;    // and what the first holder needs
+constexpr double kIdleMs = 60000;      // two waits of a read
+constexpr double kTakeOverMs = 60000;  // most from a holder's crash to the next holder
+constexpr double kStepMs = 100;
+
+std::vector<Figure> measureDuties(std::size_t candidates, const CaseLimits&) {
+  HollowCandidates fleet(candidates, kSeed);
+  fleet.run(kSettleMs + kSettleEachMs * static_cast<double>(candidates));
+  if (fleet.holders() != 1) throw std::runtime_error("not one candidate holds the duty");
+  const HollowCandidates::Traffic before = fleet.traffic();
+  const double start = processorSeconds();
+  fleet.run(kIdleMs);
+  const double processor = processorSeconds() - start;
+  const HollowCandidates::Traffic idle = fleet.traffic();
+  const double registered = static_cast<double>(fleet.registered());
+  const double registeredBytes = static_cast<double>(fleet.registeredBytes());
+  fleet.crashHolder();
+  double takeOverMs = 0;
+  while (fleet.holders() == 0 && takeOverMs < kTakeOverMs) {
+    fleet.run(kStepMs);
+    takeOverMs += kStepMs;
+  }
+  const HollowCandidates::Traffic after = fleet.traffic();
+  const double seconds = kIdleMs / 1000;
+  const double idleCalls = static_cast<double>(idle.calls - before.calls) / seconds;
+  return {{"calls", "calls/s", idleCalls},
+          {"bytes", "B/s", static_cast<double>(idle.bytes - before.bytes) / seconds},
+          {"processor", "s/s", processor / seconds},
+          {"registered", "members", registered},
+          {"registered_bytes", "B", registeredBytes},
+          {"take_over", "s", takeOverMs / 1000},
+          {"take_over_calls", "calls", static_cast<double>(after.calls - idle.calls)},
+          {"take_over_bytes", "B", static_cast<double>(after.bytes - idle.bytes)}};
+}
+
+}  // namespace
+
+std::vector<ScaleCase> dutyCases() {
+  return {{"duties",
+           "candidates",
+           RunKind::hollow,
+           {4, 8, 16, 32},
+           {16, 32, 64, 128},
+           {16, 32, 64, 128, 256, 512},
+           measureDuties}};
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scale_cases_reading.cpp
@@ -0,0 +1,115 @@
+// Scale cases of the texts that a gatekeeper reads: lists of workers and configuration files.
+#include <nlohmann/json.hpp>
+
+#include "node/config.hpp"
+#include "probe.hpp"
+#include "scale_cases.hpp"
+#include "watch/list.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kRepeats = 3;
+constexpr std::size_t kWorkersAService = 34;  // in the target, on the mean
+constexpr std::size_t kFirstName = 10000000;  // so that all names have one length
+
+// The extra memory that is resident while `call` runs, in bytes.
+template <class Call>
+double peakOf(Call call) {
+  resetPeak();
+  const double before = statusBytes("self", "VmHWM");
+  call();
+  return std::max(0.0, statusBytes("self", "VmHWM") - before);
+}
+
+json instanceOf(std::size_t index) {
+  const std::string host = "10." + std::to_string(index / 65536 % 256) + "." +
+                           std::to_string(index / 256 % 256) + "." + std::to_string(index % 256);
+  return {{"instanceId", workerName(index)},
+          {"hostPort", host + ":8080"},
+          {"zone", "z" + std::to_string(index % kZones)},
+          {"machineType", "m"},
+          {"cell", 0},
+          {"lifecycle", "Ready"},
+          {"startedAtMs", 1700000000000.0}};
+}
+
+std::vector<Figure> measureListText(std::size_t workers, const CaseLimits&) {
+  const std::string text = listText(workers);
+  const double peak = peakOf([&] { burlwind::parseRoster(text); });
+  const double seconds = leastProcessor(kRepeats, [&] { burlwind::parseRoster(text); });
+  const double cut = leastProcessor(kRepeats, [&] {
+    burlwind::ObjectReader reader;
+    reader.next(text);
+  });
+  return {{"text", "B", static_cast<double>(text.size())},
+          {"peak", "B", peak},
+          {"processor", "s", seconds + cut}};
+}
+
+std::vector<Figure> measureConfiguration(std::size_t classes, const CaseLimits&) {
+  const std::string text = configurationText(classes);
+  const double peak = peakOf([&] { burlwind::parseConfig(text); });
+  const double seconds = leastProcessor(kRepeats, [&] { burlwind::parseConfig(text); });
+  return {{"text", "B", static_cast<double>(text.size())}, {"peak", "B", peak}, {"processor", "s", seconds}};
+}
+
+}  // namespace
+
+std::string workerName(std::size_t index) {
+  return "svc" + std::to_string(index / kWorkersAService) + "-" + std::to_string(kFirstName + index);
+}
+
+std::string listText(std::size_t workers) {
+  json instances = json::array();
+  for (std::size_t i = 0; i < workers; ++i) instances.push_back(instanceOf(i));
+  return json{{"generation", 1}, {"reset", true}, {"instances", std::move(instances)}}.dump();
+}
+
+std::string configurationText(std::size_t classes) {
+  json profiles = json::array();
+  for (std::size_t i = 0; i < classes; ++i)
+    profiles.push_back({{"name", "class" + std::to_string(i)},
+                        {"aim", 1000},
+                        {"deadline", 3000},
+                        {"repeat", "safe"},
+                        {"dedupScope", "zone"},
+                        {"window", 0},
+                        {"worth", 1},
+                        {"lateWorth", 0.5}});
+  const json settings{{"me", 0},
+                      {"nInstances", kTargetGatekeepers},
+                      {"permissions", {{"attemptsCap", 3}, {"maxRetryAfter", 2000}}},
+                      {"rules", {{"stopSendingWithin", 2000}}},
+                      {"profiles", std::move(profiles)},
+                      {"plans", json::array({{{"name", "plan"}, {"unitsPerS", 1e6}, {"depth", 1e6}}})}};
+  return json{{"name", "g0"},
+              {"listen", "127.0.0.1:1"},
+              {"discovery", "127.0.0.1:1"},
+              {"limits", {{"sockets", 256}, {"memory_mb", 256}}},
+              {"settings", settings}}
+      .dump();
+}
+
+std::vector<ScaleCase> readingCases() {
+  return {
+      {"list_text",
+       "workers listed",
+       RunKind::core,
+       {50, 100, 200, 400},
+       {500, 1000, 2000, 4000, 8000},
+       {1000, 2000, 5000, 10000, 20000, 40000, 86000},
+       measureListText},
+      {"configuration",
+       "classes",
+       RunKind::core,
+       {25, 50, 100, 200},
+       {250, 500, 1000, 2000, 4000},
+       {250, 500, 1000, 2000, 4000, 8000, 16000},
+       measureConfiguration},
+  };
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scale_cases_replica.cpp
@@ -0,0 +1,147 @@
+// Scale cases of the shared state, on hollow members in virtual time.
+#include <algorithm>
+#include <stdexcept>
+
+#include "hollow_replica.hpp"
+#include "probe.hpp"
+#include "scale_cases.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+using burlwind::replica::Replica;
+
+constexpr std::uint64_t kSeed = 1;
+constexpr double kSettleMs = 8000;  // until what the start made new has been told
+constexpr double kIdleMs = 20000;   // of the idle measurement: two repairs of each member
+constexpr double kEverywhereMs = 30000;
+constexpr double kAftermathMs = 10000;  // until a change is no news any more
+constexpr std::size_t kFewMembers = 8;  // that hold many rows
+
+// What a stretch of virtual time costs each member.
+struct Cost {
+  double messages = 0, bytes = 0, processor = 0;
+};
+
+template <class Stretch>
+Cost costOf(const HollowReplicas& fleet, Stretch stretch) {
+  const HollowReplicas::Traffic before = fleet.traffic();
+  const double start = processorSeconds();
+  stretch();
+  const double members = static_cast<double>(fleet.size());
+  Cost out;
+  out.processor = (processorSeconds() - start) / members;
+  out.messages = static_cast<double>(fleet.traffic().messages - before.messages) / members;
+  out.bytes = static_cast<double>(fleet.traffic().bytes - before.bytes) / members;
+  return out;
+}
+
+// What is left of `cost` without what the same time costs an idle member.
+Cost beyondIdle(const Cost& cost, const Cost& idleASecond, double milliseconds) {
+  const double seconds = milliseconds / 1000;
+  Cost out;
+  out.messages = std::max(0.0, cost.messages - idleASecond.messages * seconds);
+  out.bytes = std::max(0.0, cost.bytes - idleASecond.bytes * seconds);
+  out.processor = std::max(0.0, cost.processor - idleASecond.processor * seconds);
+  return out;
+}
+
+Cost idleASecond(HollowReplicas& fleet) {
+  Cost out = costOf(fleet, [&] { fleet.run(kIdleMs); });
+  out.messages /= kIdleMs / 1000;
+  out.bytes /= kIdleMs / 1000;
+  out.processor /= kIdleMs / 1000;
+  return out;
+}
+
+std::vector<Figure> measureMembership(std::size_t members, const CaseLimits&) {
+  const double heapBefore = heapBytes();
+  HollowReplicas fleet(members, 0, kSeed);
+  const double held = std::max(0.0, heapBytes() - heapBefore) / static_cast<double>(members);
+  fleet.run(kSettleMs);
+  const Cost idle = idleASecond(fleet);
+  double spreadMs = 0;
+  const Cost row = costOf(fleet, [&] {
+    fleet.writeRow();
+    spreadMs = fleet.runUntilEverywhere(kEverywhereMs);
+    fleet.run(kAftermathMs);
+  });
+  const Cost rowAlone = beyondIdle(row, idle, spreadMs + kAftermathMs);
+  const Cost restart = costOf(fleet, [&] {
+    fleet.restartLast();
+    fleet.run(kAftermathMs);
+  });
+  const Cost restartAlone = beyondIdle(restart, idle, kAftermathMs);
+  return {{"alive", "members", static_cast<double>(fleet.leastAlive() + 1)},
+          {"held", "B", held},
+          {"messages", "messages/s", idle.messages},
+          {"bytes", "B/s", idle.bytes},
+          {"processor", "s/s", idle.processor},
+          {"row_spread", "s", spreadMs / 1000},
+          {"row_messages", "messages", rowAlone.messages},
+          {"row_bytes", "B", rowAlone.bytes},
+          {"row_processor", "s", rowAlone.processor},
+          {"restart_messages", "messages", restartAlone.messages},
+          {"restart_bytes", "B", restartAlone.bytes},
+          {"restart_processor", "s", restartAlone.processor}};
+}
+
+// More members than a table takes: how many the least knowing one has.
+std::vector<Figure> measureMemberCap(std::size_t members, const CaseLimits&) {
+  const HollowReplicas fleet(members, 0, kSeed);
+  return {{"alive", "members", static_cast<double>(fleet.leastAlive() + 1)}};
+}
+
+std::vector<Figure> measureRows(std::size_t rows, const CaseLimits&) {
+  const double heapBefore = heapBytes();
+  HollowReplicas fleet(kFewMembers, rows, kSeed);
+  const double held = std::max(0.0, heapBytes() - heapBefore) / kFewMembers;
+  fleet.run(kSettleMs);
+  const Cost idle = idleASecond(fleet);
+  return {{"rows", "rows", static_cast<double>(fleet.rowsHeld())},
+          {"held", "B", held},
+          {"bytes", "B/s", idle.bytes},
+          {"processor", "s/s", idle.processor}};
+}
+
+std::vector<Figure> measureRowCap(std::size_t rows, const CaseLimits&) {
+  const HollowReplicas fleet(1, rows, kSeed);
+  return {{"rows", "rows", static_cast<double>(fleet.rowsHeld())}};
+}
+
+}  // namespace
+
+std::vector<ScaleCase> replicaCases() {
+  return {
+      {"membership",
+       "members",
+       RunKind::hollow,
+       {8, 16, 32, 64},
+       {32, 64, 128, 256},
+       {64, 128, 256, 512, 1000},
+       measureMembership},
+      {"member_cap",
+       "members",
+       RunKind::hollow,
+       {Replica::kMostMembers + 8},
+       {Replica::kMostMembers + 100},
+       {Replica::kMostMembers + 100},
+       measureMemberCap},
+      {"rows",
+       "rows",
+       RunKind::hollow,
+       {32, 64, 128, 256},
+       {256, 512, 1024, 2048},
+       {256, 512, 1024, 2048, 4096},
+       measureRows},
+      {"row_cap",
+       "rows",
+       RunKind::hollow,
+       {Replica::kMostRows + 10},
+       {Replica::kMostRows + 100},
+       {Replica::kMostRows + 100},
+       measureRowCap},
+  };
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/scale_cases_watch.cpp
@@ -0,0 +1,59 @@
+// Scale cases of the watch on the list of workers: its core in virtual time.
+#include <vector>
+
+#include "probe.hpp"
+#include "scale_cases.hpp"
+#include "watch/watch.hpp"
+
+namespace wingslip::lab {
+namespace {
+
+using burlwind::Watch;
+
+constexpr double kStopWithinMs = 2000;
+constexpr double kOutageMs = 60000;
+constexpr double kAnswerMs = 5;  // until discovery turns a call away
+
+// Calls that one watch makes while discovery turns each of them away.
+std::uint64_t callsTurnedAway(unsigned gatekeepers, std::uint64_t seed) {
+  Watch watch(Watch::limitsFor(kStopWithinMs, gatekeepers), seed);
+  double now = 0;
+  Watch::Act act = watch.open(now);
+  while (now < kOutageMs) {
+    if (act == Watch::Act::connect) {
+      now += kAnswerMs;
+      watch.up(now);
+      act = watch.turnedAway(now);
+    } else {
+      now = watch.due();
+      act = watch.look(now);
+    }
+  }
+  return watch.calls();
+}
+
+// A discovery of all gatekeepers' own that has no room for any of them.
+std::vector<Figure> measureTurnedAway(std::size_t gatekeepers, const CaseLimits&) {
+  double calls = 0;
+  const double start = processorSeconds();
+  for (std::size_t i = 0; i < gatekeepers; ++i)
+    calls += static_cast<double>(callsTurnedAway(static_cast<unsigned>(gatekeepers), i + 1));
+  const double seconds = kOutageMs / 1000;
+  return {{"calls", "calls/s", calls / seconds},
+          {"calls_each", "calls/s", calls / seconds / static_cast<double>(gatekeepers)},
+          {"processor", "s/s", (processorSeconds() - start) / seconds / static_cast<double>(gatekeepers)}};
+}
+
+}  // namespace
+
+std::vector<ScaleCase> watchCases() {
+  return {{"watch",
+           "gatekeepers",
+           RunKind::core,
+           {500, 1000, 2000, 4000},
+           {500, 1000, 2000, 4000, 8400},
+           {500, 1000, 2000, 4000, 8400},
+           measureTurnedAway}};
+}
+
+}  // namespace wingslip::lab
