Lab: `capacity` works the target's needs out of a scale run and writes the page's tables

Need: no figure on the capacity page is to be typed by hand, and the choice of what to build next is to follow from them.

A value is the measured one where its size was measured, and beyond that the largest measured one times the fit's growth. `scale` bounds its whole run too, asks requests and answers apart, looks for the most classes, keeps what real processes say in its folder and says where a mechanism did not end.

--- a/tools/lab/fit.cpp
+++ b/tools/lab/fit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace wingslip::lab {
 namespace {
@@ -109,6 +110,24 @@
   return out;
 }
 
+double valueAt(const std::vector<Sample>& samples, const Fit& fit, double size) {
+  check(samples);
+  const Sample& largest = samples.back();
+  if (size < samples.front().size) return fit.at(size);
+  if (size > largest.size) {
+    const double from = fit.at(largest.size);
+    return from > 0 ? largest.value * fit.at(size) / from : largest.value;
+  }
+  const auto above =
+      std::find_if(samples.begin(), samples.end(), [&](const Sample& sample) { return sample.size >= size; });
+  if (above->size == size || above == samples.begin()) return above->value;
+  const auto below = std::prev(above);
+  const double share = std::log(size / below->size) / std::log(above->size / below->size);
+  const double low = std::log(std::max(below->value, kLeastValue));
+  const double high = std::log(std::max(above->value, kLeastValue));
+  return std::exp(low + share * (high - low));
+}
+
 Fit bestFit(const std::vector<Sample>& samples) {
   std::vector<Fit> fits;
   for (const Shape shape : kShapes) fits.push_back(fitShape(samples, shape));
--- a/tools/lab/fit.hpp
+++ b/tools/lab/fit.hpp
@@ -39,4 +39,10 @@
 constexpr std::size_t kLeastSamples = 4;
 Fit bestFit(const std::vector<Sample>& samples);
 
+// The value at `size`: between measured sizes along the straight line through the two neighbours on
+// logarithmic axes; beyond the largest, its value times the growth of the fit from there, so that a fit that
+// is poor at the large end does not belittle what was measured; below the smallest, the fit. `samples` by
+// rising size.
+double valueAt(const std::vector<Sample>& samples, const Fit& fit, double size);
+
 }  // namespace wingslip::lab
--- a/tools/lab/measurement.hpp
+++ b/tools/lab/measurement.hpp
@@ -60,6 +60,8 @@
   std::vector<Sample> samples;
   Fit fit;
 };
+// All figures but those of the unit `kYes` (1 yes, 0 no), which have no shape.
+constexpr const char* kYes = "yes";
 std::vector<Series> seriesOf(const MeasurementSet& set);
 
 }  // namespace wingslip::lab
--- a/tools/lab/scale.cpp
+++ b/tools/lab/scale.cpp
@@ -80,10 +80,19 @@
   return out;
 }
 
+// What processes under test and members on sockets say goes into the case's folder.
+void logAside(const ScaleCase& what, const CaseLimits& limits) {
+  if (what.kind != RunKind::real) return;
+  std::error_code ignored;
+  std::filesystem::create_directories(limits.dir, ignored);
+  if (!std::freopen((limits.dir / "case.log").c_str(), "w", stderr)) ::_exit(1);
+}
+
 [[noreturn]] void childMain(const ScaleCase& what, std::size_t size, const CaseLimits& limits, int pipe,
                             pid_t parent) {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (::getppid() != parent) ::_exit(1);
+  logAside(what, limits);
   const std::string text = textOf(measureHere(what, size, limits));
   for (std::size_t sent = 0; sent < text.size();) {
     const ssize_t n = ::write(pipe, text.data() + sent, text.size() - sent);
@@ -177,7 +186,12 @@
       return;
     }
     const auto start = Clock::now();
-    const double budget = options_.caseSeconds * what.budgetShare;
+    const double total = options_.totalSeconds - secondsSince(began_);
+    const double budget = std::min(options_.caseSeconds * what.budgetShare, total);
+    if (budget <= 0) {
+      note(what, "not run: the time of the whole run has ended");
+      return;
+    }
     double last = 0;  // seconds of the size before
     std::size_t lastSize = 0;
     for (const std::size_t size : sizesOf(what, options_.form)) {
@@ -231,6 +245,7 @@
   }
 
   const ScaleOptions& options_;
+  const Clock::time_point began_ = Clock::now();
   MeasurementSet out_;
 };
 
--- a/tools/lab/scale.hpp
+++ b/tools/lab/scale.hpp
@@ -39,6 +39,7 @@
 
 struct ScaleOptions {
   ScaleForm form = ScaleForm::quick;
+  double totalSeconds = 0;        // of the run, wall time
   double caseSeconds = 0;         // of one mechanism at all its sizes, wall time
   std::uint64_t memoryBytes = 0;  // of one child process and what it starts
   unsigned processes = 0;
--- a/tools/lab/scale_cases_reading.cpp
+++ b/tools/lab/scale_cases_reading.cpp
@@ -1,5 +1,6 @@
 // Scale cases of the texts that a gatekeeper reads: lists of workers and configuration files.
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 #include "node/config.hpp"
 #include "probe.hpp"
@@ -56,6 +57,29 @@
   return {{"text", "B", static_cast<double>(text.size())}, {"peak", "B", peak}, {"processor", "s", seconds}};
 }
 
+bool isRead(std::size_t classes) {
+  try {
+    burlwind::parseConfig(configurationText(classes));
+    return true;
+  } catch (const std::runtime_error&) {
+    return false;
+  }
+}
+
+// The most classes that a configuration may have, looked for up to `most`.
+std::vector<Figure> measureClassCap(std::size_t most, const CaseLimits&) {
+  std::size_t read = 0, turnedDown = 1;
+  while (turnedDown <= most && isRead(turnedDown)) {
+    read = turnedDown;
+    turnedDown *= 2;
+  }
+  while (turnedDown <= most && turnedDown - read > 1) {
+    const std::size_t middle = read + (turnedDown - read) / 2;
+    (isRead(middle) ? read : turnedDown) = middle;
+  }
+  return {{"classes", "classes", static_cast<double>(read)}};
+}
+
 }  // namespace
 
 std::string workerName(std::size_t index) {
@@ -109,6 +133,7 @@
        {250, 500, 1000, 2000, 4000},
        {250, 500, 1000, 2000, 4000, 8000, 16000},
        measureConfiguration},
+      {"class_cap", "classes tried", RunKind::core, {8192}, {65536}, {65536}, measureClassCap},
   };
 }
 
--- a/tools/lab/scale_cases_replica.cpp
+++ b/tools/lab/scale_cases_replica.cpp
@@ -16,6 +16,8 @@
 constexpr double kIdleMs = 20000;   // of the idle measurement: two repairs of each member
 constexpr double kEverywhereMs = 30000;
 constexpr double kAftermathMs = 10000;  // until a change is no news any more
+constexpr double kGrowth = 2;           // of the time: members that each look through all members
+constexpr double kBudgetShare = 2;      // of the time of one mechanism
 constexpr std::size_t kFewMembers = 8;  // that hold many rows
 
 // What a stretch of virtual time costs each member.
