Replica: refuse deeply nested messages before they are parsed

Found in reading while the distribution's codec was written, which refused such messages already. Change: its check of the depth moved to src/codec/cbor.hpp, and both codecs read through it.

--- a/src/distribution/message.cpp
+++ b/src/distribution/message.cpp
@@ -7,6 +7,8 @@
 #include <cstring>
 #include <nlohmann/json.hpp>
 
+#include "codec/cbor.hpp"
+
 namespace burlwind::distribution {
 namespace {
 
@@ -14,40 +16,15 @@
 
 constexpr unsigned kFormat = 1;
 constexpr std::size_t kChecksumBytes = 8;
-constexpr std::size_t kMaxDepth = 8;
 constexpr const char* kSnapshotMagic = "burlwind-distribution 1 ";
 constexpr std::size_t kMaxSnapshotHeadBytes = 80;
 
-// Refuses deep nesting before the parser that builds a tree recurses into it.
-class DepthCheck : public json::json_sax_t {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return leave(); }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_array() override { return leave(); }
-  bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
-
- private:
-  bool leave() {
-    --depth_;
-    return true;
-  }
-  std::size_t depth_ = 0;
-};
-
 json parse(const std::uint8_t* bytes, std::size_t size) {
-  DepthCheck check;
-  if (!json::sax_parse(bytes, bytes + size, &check, json::input_format_t::cbor))
-    throw CodecError("not CBOR, or nested too deep");
-  return json::from_cbor(bytes, bytes + size);
+  try {
+    return parseCbor(bytes, size);
+  } catch (const CborError& error) {
+    throw CodecError(error.what());
+  }
 }
 
 std::uint64_t unsignedOf(const json& value) {
--- a/src/replica/message.cpp
+++ b/src/replica/message.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <tuple>
 
+#include "codec/cbor.hpp"
+
 namespace burlwind::replica {
 namespace {
 
@@ -110,7 +112,7 @@
 
 Message decode(const std::uint8_t* bytes, std::size_t size) {
   try {
-    const json j = json::from_cbor(bytes, bytes + size);
+    const json j = parseCbor(bytes, size);
     if (j.at("v").get<int>() != 1) throw std::runtime_error("replica: another version");
     Message out;
     out.fleet = text(j.at("fleet"), Message::kMostName, "a fleet");
@@ -125,6 +127,8 @@
     for (const json& d : arrayOf(j, "differ")) out.differ.push_back(d.get<unsigned>());
     out.more = j.at("more").get<bool>();
     return out;
+  } catch (const CborError& error) {
+    throw std::runtime_error(std::string("replica: ") + error.what());
   } catch (const json::exception& error) {
     throw std::runtime_error(std::string("replica: ") + error.what());
   }
@@ -154,13 +158,15 @@
   if (body.size() != size) throw std::runtime_error("snapshot: cut short or too long");
   if (hashOf(body) != hash) throw std::runtime_error("snapshot: damaged");
   try {
-    const json j = json::from_cbor(body);
+    const json j = parseCbor(reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
     Snapshot out;
     out.atMs = j.at("at").get<std::int64_t>();
     out.generation = j.at("generation").get<std::uint64_t>();
     for (const json& m : arrayOf(j, "members")) out.members.push_back(memberOf(m));
     for (const json& r : arrayOf(j, "rows")) out.rows.push_back(rowOf(r));
     return out;
+  } catch (const CborError& error) {
+    throw std::runtime_error(std::string("snapshot: ") + error.what());
   } catch (const json::exception& error) {
     throw std::runtime_error(std::string("snapshot: ") + error.what());
   }
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -371,6 +371,12 @@
   changed("/digest", json::array({"x"}));
 }
 
+// As long as a message may be: an array of one item in an array of one item, and so on.
+TEST(ReplicaBadInput, AMessageOfDeeplyNestedArraysIsRefused) {
+  const std::vector<std::uint8_t> nested(Message::kMostBytes, 0x81);
+  EXPECT_THROW(decode(nested.data(), nested.size()), std::runtime_error);
+}
+
 TEST(ReplicaBadInput, ASnapshotThatIsShortDamagedOrOfAnotherVersionIsNone) {
   Snapshot s{5, 7, {{"g", "a", 1, 2, Health::dead}}, {{"t", "k", "v", {1, 2, "o"}, false}}};
   const std::string good = encodeSnapshot(s);
