Lab: move the gatekeepers' configuration files out of the runner

Change: gatekeeper_config.{hpp,cpp} builds the whole file from the scenario and the ports, and applies a step's patch to it; the runner only collects the ports.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "figures.hpp"
+#include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
 #include "net.hpp"
 #include "plot.hpp"
@@ -32,55 +33,11 @@
 
 constexpr auto kHealthEvery = std::chrono::milliseconds(250);
 constexpr int kMissesOut = 3;  // the front takes a gatekeeper out after this many silent health checks
-constexpr int kRoutedPeers =
-    30;                       // in larger fleets gatekeepers find most others by themselves, past the proxies
-constexpr double kTailS = 2;  // after the load, for the last answers
+constexpr double kTailS = 2;   // after the load, for the last answers
 constexpr double kFiguresEveryS = 0.5;
 constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
 constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
 
-json settingsFor(const Scenario& s, int me) {
-  return json{{"me", me},
-              {"nInstances", s.settingsFor},
-              {"locality", 0},
-              {"localities", s.zones},
-              {"shapes", {"m"}},
-              {"discovery", "pushed"},
-              {"permissions",
-               {{"attemptsCap", s.attemptsCap},
-                {"dialTimeout", 1000.0},
-                {"connIdle", 30000.0},
-                {"maxRetryAfter", 1000.0}}},
-              {"familyInfo", {{"metering", 1000.0}, {"truedUp", false}, {"mostUnits", 2}}},
-              {"report", {{"how", "answers"}, {"fields", {"util", "queue"}}}},
-              {"rules",
-               {{"stopSendingWithin", 1000.0},
-                {"coldFrom", 0.2},
-                {"warmUp", 1000.0},
-                {"fallMultiple", 2.5},
-                {"overloadFor", 1000.0}}},
-              {"profiles",
-               {{{"name", "look"},
-                 {"aim", s.deadlineMs},
-                 {"deadline", s.deadlineMs},
-                 {"repeat", "safe"},
-                 {"window", 0.0},
-                 {"worth", 1.0}},
-                {{"name", "edit"},
-                 {"aim", s.deadlineMs},
-                 {"deadline", s.deadlineMs},
-                 {"repeat", "keyed"},
-                 {"dedupScope", "zone"},
-                 {"window", 60000.0},
-                 {"worth", 2.0}}}},
-              {"plans",
-               {{{"name", "large"},
-                 {"unitsPerS", 100000.0},
-                 {"depth", 100000.0},
-                 {"pays", 1.0},
-                 {"overrunCost", 1.0}}}}};
-}
-
 const std::map<std::string, LinkMode> kModes{
     {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
     {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
@@ -265,6 +222,18 @@
     if (what == "store_ok") store_->set(Store::Mode::well);
   }
 
+  GatekeeperPorts portsOf(int g) const {
+    GatekeeperPorts out;
+    out.listen = ports_.listen(g);
+    out.discovery = agentLinks_[g]->port();
+    if (store_) out.store = storeLinks_[g]->port();
+    if (!s_.replica) return out;
+    out.listenPeers = ports_.peers(g);
+    for (int other = 0; other < s_.gatekeepers; ++other)
+      if (other != g) out.peers[other] = peerLinks_[g * s_.gatekeepers + other]->port();
+    return out;
+  }
+
   // The gatekeeper's files, and its listening socket where the lab holds it.
   Gatekeeper configured(int g) {
     Gatekeeper gk;
@@ -278,38 +247,9 @@
       fs::remove_all(gk.state);
       fs::create_directories(gk.state);
     }
-    char seed[17];
-    std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
-    json file{
-        {"name", name},
-        {"listen", "127.0.0.1:" + std::to_string(gk.port)},
-        {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
-        {"seed", seed},
-        {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
-        {"known", json::parse(agents_[g]->listJson(true, {}))},  // as before the first step, at each start
-        {"settings", settingsFor(s_, g)}};
-    if (s_.replica) {
-      json peers = json::object();
-      for (int i = 1; i < s_.gatekeepers; ++i) {
-        const int other = (g + i) % s_.gatekeepers;
-        if (i <= 2 || s_.gatekeepers <= kRoutedPeers)
-          peers["g" + std::to_string(other)] =
-              "127.0.0.1:" + std::to_string(peerLinks_[g * s_.gatekeepers + other]->port());
-      }
-      file["replica"] = {{"listen", "127.0.0.1:" + std::to_string(ports_.peers(g))},
-                         {"fleet", "lab"},
-                         {"peers", peers},
-                         {"probe_every_ms", s_.probeEveryMs},
-                         {"gossip_every_ms", s_.gossipEveryMs},
-                         {"repair_every_ms", s_.repairEveryMs}};
-    }
-    if (store_)
-      file["coordination"] = {{"store", "127.0.0.1:" + std::to_string(storeLinks_[g]->port())},
-                              {"prefix", "lab"},
-                              {"ttl_ms", s_.storeTtlMs},
-                              {"lock_delay_ms", s_.storeLockDelayMs}};
-    if (!s_.configPatch.empty()) file.merge_patch(json::parse(s_.configPatch));
-    std::ofstream(gk.config) << file.dump(1);
+    // As before the first step, at each start.
+    const json known = json::parse(agents_[g]->listJson(true, {}));
+    std::ofstream(gk.config) << gatekeeperConfig(s_, g, portsOf(g), known, o_.seed).dump(1);
     return gk;
   }
 
@@ -351,16 +291,9 @@
     });
   }
 
-  // The configuration file with the step's patch, written aside and renamed; then SIGHUP.
+  // Reads its configuration file again, with the step's patch.
   void hup(Gatekeeper& gk, const std::string& patch) {
-    if (!patch.empty()) {
-      std::ifstream in(gk.config);
-      json file = json::parse(in);
-      file.merge_patch(json::parse(patch));
-      const fs::path aside = gk.config.string() + ".new";
-      std::ofstream(aside) << file.dump(1);
-      fs::rename(aside, gk.config);
-    }
+    if (!patch.empty()) patchConfig(gk.config, patch);
     signal(gk, SIGHUP);
   }
 
