Lab: move the report of a run out of the runner

Need: events, plot, summary and its printing were a fifth of fleet.cpp, as loose JSON values among the runner's state. Change: run_report.{hpp,cpp} writes and prints the report from a typed RunRecord, which the runner fills; `report` of the command is now printReport. The files' fields and the printed lines are the same.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -10,7 +10,6 @@
 #include <boost/beast/http.hpp>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -18,8 +17,8 @@
 #include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
 #include "net.hpp"
-#include "plot.hpp"
 #include "process.hpp"
+#include "run_report.hpp"
 #include "store.hpp"
 
 namespace wingslip::lab {
@@ -130,8 +129,8 @@
                      nowMs());
         holder_ = std::max(0, gatekeeper);
         noted_.push_back({"claims", gatekeeper, nowMs()});
-        claims_.push_back({{"at_ms", nowMs()}, {"gatekeeper", gatekeeper}, {"token", record["token"]}});
-        marks_.push_back({nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
+        claims_.push_back({nowMs(), gatekeeper, record["token"].get<std::uint64_t>()});
+        record_.marks.push_back({nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
       }
       const json roster = json::parse(record.value("data", ""), nullptr, false);
       if (!roster.is_object()) return;
@@ -310,15 +309,15 @@
         if (status == 0)
           noted_.push_back({"upgrades", gk.index, nowMs()});
         else
-          crashes_.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
-                             ": the old process ended with " + std::to_string(status));
+          record_.crashes.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
+                                    ": the old process ended with " + std::to_string(status));
       }
       if (gk.now.pid <= 0 || ::waitpid(gk.now.pid, &status, WNOHANG) != gk.now.pid) continue;
       gk.now = {};
       const bool byLab = ended_.contains(gk.index);
       if (!byLab && !finishing_) {
-        crashes_.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
-                           std::to_string(status));
+        record_.crashes.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
+                                  std::to_string(status));
         judge_.down(gk.index, nowMs());
       }
     }
@@ -329,7 +328,7 @@
     at(nowMs() / 1000 + 10, [this] {
       if (finishing_) return;
       spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}", nowMs() / 1000,
-                   s_.lengthS, judge_.requests().size(), inFlight_, notSent_);
+                   s_.lengthS, judge_.requests().size(), inFlight_, record_.notSent);
       progress();
     });
   }
@@ -394,8 +393,8 @@
     if (!step.role.empty()) step.gatekeeper = former_;
     spdlog::info("event=step at_s={} do={} gatekeeper={} worker={} zone={}", step.atS, step.what,
                  step.gatekeeper.value_or(-1), step.worker.value_or(-1), step.zone.value_or("-"));
-    faults_.push_back({{"at_s", step.atS}, {"do", step.what}, {"line", step.line}});
-    marks_.push_back({step.atS, labelOf(step)});
+    record_.steps.push_back({step.atS, step.what, step.line});
+    record_.marks.push_back({step.atS, labelOf(step)});
     if (step.what.rfind("store_", 0) == 0) return storeFault(step.what);
     const auto mode = kModes.find(step.what);
     if (mode != kModes.end() && step.link == "peers") {
@@ -425,8 +424,9 @@
       askOps(io_, gatekeepers_[*step.gatekeeper].now.ops, step.what + " w" + std::to_string(*step.worker),
              [this, step](const std::string& answer) {
                if (answer.rfind("200", 0) != 0)
-                 crashes_.push_back("line " + std::to_string(step.line) + ": " + step.what +
-                                    " was answered " + (answer.empty() ? "nothing" : answer.substr(0, 60)));
+                 record_.crashes.push_back("line " + std::to_string(step.line) + ": " + step.what +
+                                           " was answered " +
+                                           (answer.empty() ? "nothing" : answer.substr(0, 60)));
              });
       return;
     }
@@ -497,7 +497,7 @@
     std::vector<int> front;
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.inFront) front.push_back(gk.index);
-    if (front.empty() || inFlight_ >= s_.mostInFlight) return void(++notSent_);
+    if (front.empty() || inFlight_ >= s_.mostInFlight) return void(++record_.notSent);
     const int g = front[std::uniform_int_distribution<std::size_t>(0, front.size() - 1)(random_)];
     const int customer = std::uniform_int_distribution<int>(1, s_.customers)(random_);
     const bool edit = std::uniform_real_distribution<double>()(random_) < s_.editShare;
@@ -584,12 +584,12 @@
     const std::string at = "/proc/" + std::to_string(gk.now.pid);
     std::ifstream status(at + "/status");
     for (std::string line; std::getline(status, line);)
-      if (line.rfind("VmHWM:", 0) == 0) mostKb_ = std::max(mostKb_, std::stol(line.substr(6)));
+      if (line.rfind("VmHWM:", 0) == 0) record_.mostKb = std::max(record_.mostKb, std::stol(line.substr(6)));
     Error error;
     long fds = 0;
     for (std::error_code e; const auto& entry : fs::directory_iterator(at + "/fd", e))
       fds += !entry.is_directory();
-    mostFds_ = std::max(mostFds_, fds);
+    record_.mostDescriptors = std::max(record_.mostDescriptors, fds);
   }
 
   // None where nobody told it.
@@ -623,78 +623,29 @@
     });
   }
 
-  int verdict() {
-    std::ofstream events(fs::path(o_.out) / "events.jsonl");
-    for (const auto& [id, r] : judge_.requests())
-      events << json{{"id", id},
-                     {"gatekeeper", r.gatekeeper},
-                     {"sent_ms", r.sentMs},
-                     {"end_ms", r.endMs},
-                     {"fate", nameOf(r.fate)},
-                     {"status", r.status},
-                     {"excused", r.excused}}
-                    .dump()
-             << "\n";
-    std::vector<Request> all;
-    for (const auto& [id, r] : judge_.requests()) all.push_back(r);
-    std::ofstream(fs::path(o_.out) / "plot.svg")
-        << plotSvg({s_.name, s_.lengthS, s_.gatekeepers, marks_}, all);
-    json summary{{"scenario", s_.name},   {"seed", o_.seed},   {"gatekeepers", s_.gatekeepers},
-                 {"workers", s_.workers}, {"faults", faults_}, {"not_sent", notSent_}};
-    rusage self{};
-    ::getrusage(RUSAGE_SELF, &self);
-    summary["lab"] = {{"cpu_s", self.ru_utime.tv_sec + self.ru_stime.tv_sec +
-                                    (self.ru_utime.tv_usec + self.ru_stime.tv_usec) / 1e6},
-                      {"most_kb", self.ru_maxrss}};
-    summary["gatekeeper_most"] = {{"kb", mostKb_}, {"descriptors", mostFds_}};
-    for (Fate f : {Fate::served, Fate::refused, Fate::failed, Fate::closed, Fate::unreachable, Fate::lost,
-                   Fate::wrong})
-      summary["fates"][nameOf(f)] = judge_.count(f);
-    std::vector<double> times = judge_.servedTimes();
-    std::sort(times.begin(), times.end());
-    for (const double q : {0.5, 0.9, 0.99})
-      summary["served_ms"]["p" + std::to_string(static_cast<int>(q * 100))] =
-          times.empty() ? 0.0 : times[static_cast<std::size_t>(q * (times.size() - 1))];
-    if (store_) {
-      const auto& seconds = store_->callsBySecond();
-      summary["store"] = {
-          {"calls", store_->calls()},
-          {"most_calls_a_second", seconds.empty() ? 0 : *std::max_element(seconds.begin(), seconds.end())},
-          {"calls_by_second", seconds},
-          {"claims", claims_}};
-    }
-    for (const auto& [g, clients] : idleClients_) {
-      const IdleClientCounts& counts = clients->counts();
-      summary["idle_clients"].push_back({{"gatekeeper", g},
-                                         {"opened", counts.opened},
-                                         {"closed_by_gatekeeper", counts.closed},
-                                         {"refused", counts.refused}});
-    }
-    for (const Expect& e : s_.expects) {
-      if (e.fate != "figure") continue;
-      const std::optional<long> most = figure(e);
-      summary["figures"].push_back(
-          {{"line", e.line}, {"name", e.figure}, {"most", most ? json(*most) : json()}});
-    }
-    std::vector<std::string> broken = judge_.broken();
-    broken.insert(broken.end(), crashes_.begin(), crashes_.end());
-    summary["broken"] = broken;
-    summary["broken_count"] = judge_.brokenCount() + static_cast<long>(crashes_.size());
-    json unmet = json::array();
+  // What the expectations ask of the run and is not so.
+  std::vector<std::string> unmet() const {
+    std::vector<std::string> out;
     for (const Expect& e : s_.expects) {
       const std::optional<long> n = counted(e);
       if (!n || (e.min && *n < *e.min) || (e.max && *n > *e.max))
-        unmet.push_back("line " + std::to_string(e.line) + ": " + e.fate +
-                        (e.figure.empty() ? "" : " " + e.figure) + " " +
-                        (n ? std::to_string(*n) : "not told") + " not within " +
-                        std::to_string(e.min.value_or(0)) + ".." + (e.max ? std::to_string(*e.max) : "any"));
+        out.push_back("line " + std::to_string(e.line) + ": " + e.fate +
+                      (e.figure.empty() ? "" : " " + e.figure) + " " + (n ? std::to_string(*n) : "not told") +
+                      " not within " + std::to_string(e.min.value_or(0)) + ".." +
+                      (e.max ? std::to_string(*e.max) : "any"));
     }
-    summary["unmet"] = unmet;
-    const bool passed = summary["broken_count"] == 0 && unmet.empty();
-    summary["verdict"] = passed ? "passed" : "failed";
-    std::ofstream(fs::path(o_.out) / "summary.json") << summary.dump(1) << "\n";
-    report(o_.out);
-    return passed ? 0 : 1;
+    return out;
+  }
+
+  int verdict() {
+    record_.seed = o_.seed;
+    if (store_) record_.store = StoreUse{store_->calls(), store_->callsBySecond(), claims_};
+    for (const auto& [g, clients] : idleClients_) record_.idleClients[g] = clients->counts();
+    for (const Expect& e : s_.expects)
+      if (e.fate == "figure") record_.figures.push_back({e.line, e.figure, figure(e)});
+    record_.unmet = unmet();
+    writeReport(o_.out, s_, judge_, record_);
+    return printReport(o_.out);
   }
 
   const Scenario& s_;
@@ -717,22 +668,19 @@
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
   Figures figures_;
   std::set<int> ended_;
-  std::vector<std::string> crashes_;
-  json faults_ = json::array();
-  std::vector<PlotMark> marks_;
+  RunRecord record_;
   struct Noted {
     std::string what;  // one of kNoted, of expectations
     int gatekeeper;
     double atMs;
   };
   std::vector<Noted> noted_;
-  json claims_ = json::array();
+  std::vector<Claim> claims_;
   std::uint64_t rosterVersion_ = 0;
   int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
   std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
   double nextS_ = 0;
   int inFlight_ = 0;
-  long notSent_ = 0, mostKb_ = 0, mostFds_ = 0;
   bool finishing_ = false;
 };
 
@@ -746,36 +694,4 @@
   return Fleet(scenario, options).run();
 }
 
-int report(const std::string& out) {
-  std::ifstream in(fs::path(out) / "summary.json");
-  if (!in) throw std::runtime_error("no summary.json in " + out);
-  const json s = json::parse(in);
-  std::cout << "scenario " << s["scenario"].get<std::string>() << ", seed " << s["seed"] << ", "
-            << s["gatekeepers"] << " gatekeepers, " << s["workers"] << " workers\n";
-  std::cout << "fates:";
-  for (const auto& [fate, n] : s["fates"].items()) std::cout << " " << fate << "=" << n;
-  std::cout << "\nserved ms: p50=" << s["served_ms"]["p50"] << " p90=" << s["served_ms"]["p90"]
-            << " p99=" << s["served_ms"]["p99"] << "\nlab: " << s["lab"]["cpu_s"] << " s of CPU, "
-            << s["lab"]["most_kb"] << " kB; a gatekeeper at most " << s["gatekeeper_most"]["kb"] << " kB, "
-            << s["gatekeeper_most"]["descriptors"] << " descriptors"
-            << (s.contains("store") ? "\nstore: " + s["store"]["calls"].dump() + " calls, at most " +
-                                          s["store"]["most_calls_a_second"].dump() + " a second; " +
-                                          std::to_string(s["store"]["claims"].size()) + " claims"
-                                    : "")
-            << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
-  if (s.contains("idle_clients"))
-    for (const auto& counts : s["idle_clients"])
-      std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
-                << " connections opened, " << counts["closed_by_gatekeeper"] << " closed by it, "
-                << counts["refused"] << " refused\n";
-  if (s.contains("figures"))
-    for (const auto& figure : s["figures"])
-      std::cout << "figure " << figure["name"].get<std::string>() << " (line " << figure["line"]
-                << "): " << figure["most"] << " at most\n";
-  for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
-  for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
-  std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
-  return s["verdict"] == "passed" ? 0 : 1;
-}
-
 }  // namespace wingslip::lab
--- a/tools/lab/fleet.hpp
+++ b/tools/lab/fleet.hpp
@@ -1,6 +1,7 @@
 // The lab's driver: starts the fleet, plays the scenario's load and faults, and judges the run.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "scenario.hpp"
@@ -18,7 +19,4 @@
 // fleet cannot be started (the program missing, no ports).
 int play(const Scenario& scenario, const RunOptions& options);
 
-// Prints the summary of an earlier run from DIR/summary.json.
-int report(const std::string& out);
-
 }  // namespace wingslip::lab
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -9,6 +9,7 @@
 
 #include "distribution_run.hpp"
 #include "fleet.hpp"
+#include "run_report.hpp"
 #include "scale_command.hpp"
 
 int main(int argc, char** argv) {
@@ -40,7 +41,7 @@
   spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
   try {
-    if (*report) return wingslip::lab::report(reportDir);
+    if (*report) return wingslip::lab::printReport(reportDir);
     const auto scenario = wingslip::lab::readScenario(scenarioPath, gatekeepers, workers, options.seed);
     if (check)
       return std::cout << "scenario " << scenario.name << ": well formed, " << scenario.steps.size()
--- /dev/null
+++ b/tools/lab/run_report.cpp
@@ -0,0 +1,168 @@
+#include "run_report.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace wingslip::lab {
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+namespace {
+
+constexpr double kServedQuantiles[] = {0.5, 0.9, 0.99};
+
+void writeEvents(const fs::path& file, const Judge& judge) {
+  std::ofstream events(file);
+  for (const auto& [id, r] : judge.requests())
+    events << json{{"id", id},
+                   {"gatekeeper", r.gatekeeper},
+                   {"sent_ms", r.sentMs},
+                   {"end_ms", r.endMs},
+                   {"fate", nameOf(r.fate)},
+                   {"status", r.status},
+                   {"excused", r.excused}}
+                  .dump()
+           << "\n";
+}
+
+void writePlot(const fs::path& file, const Scenario& s, const Judge& judge,
+               const std::vector<PlotMark>& marks) {
+  std::vector<Request> all;
+  all.reserve(judge.requests().size());
+  for (const auto& [id, r] : judge.requests()) all.push_back(r);
+  std::ofstream(file) << plotSvg({s.name, s.lengthS, s.gatekeepers, marks}, all);
+}
+
+// What the lab itself has used so far.
+json labUse() {
+  rusage self{};
+  ::getrusage(RUSAGE_SELF, &self);
+  return json{{"cpu_s", self.ru_utime.tv_sec + self.ru_stime.tv_sec +
+                            (self.ru_utime.tv_usec + self.ru_stime.tv_usec) / 1e6},
+              {"most_kb", self.ru_maxrss}};
+}
+
+json fateCounts(const Judge& judge) {
+  json out;
+  for (Fate f :
+       {Fate::served, Fate::refused, Fate::failed, Fate::closed, Fate::unreachable, Fate::lost, Fate::wrong})
+    out[nameOf(f)] = judge.count(f);
+  return out;
+}
+
+json servedQuantiles(const Judge& judge) {
+  std::vector<double> times = judge.servedTimes();
+  std::sort(times.begin(), times.end());
+  json out;
+  for (const double q : kServedQuantiles)
+    out["p" + std::to_string(static_cast<int>(q * 100))] =
+        times.empty() ? 0.0 : times[static_cast<std::size_t>(q * (times.size() - 1))];
+  return out;
+}
+
+json stepsJson(const std::vector<StepDone>& steps) {
+  json out = json::array();
+  for (const StepDone& step : steps)
+    out.push_back({{"at_s", step.atS}, {"do", step.what}, {"line", step.line}});
+  return out;
+}
+
+json storeJson(const StoreUse& store) {
+  const auto& seconds = store.callsBySecond;
+  json claims = json::array();
+  for (const Claim& claim : store.claims)
+    claims.push_back({{"at_ms", claim.atMs}, {"gatekeeper", claim.gatekeeper}, {"token", claim.token}});
+  return json{
+      {"calls", store.calls},
+      {"most_calls_a_second", seconds.empty() ? 0 : *std::max_element(seconds.begin(), seconds.end())},
+      {"calls_by_second", seconds},
+      {"claims", claims}};
+}
+
+json idleClientsJson(const std::map<int, IdleClientCounts>& all) {
+  json out = json::array();
+  for (const auto& [gatekeeper, counts] : all)
+    out.push_back({{"gatekeeper", gatekeeper},
+                   {"opened", counts.opened},
+                   {"closed_by_gatekeeper", counts.closed},
+                   {"refused", counts.refused}});
+  return out;
+}
+
+json figuresJson(const std::vector<FigureMost>& figures) {
+  json out = json::array();
+  for (const FigureMost& f : figures)
+    out.push_back({{"line", f.line}, {"name", f.name}, {"most", f.most ? json(*f.most) : json()}});
+  return out;
+}
+
+json summaryOf(const Scenario& s, const Judge& judge, const RunRecord& record) {
+  json out{{"scenario", s.name},
+           {"seed", record.seed},
+           {"gatekeepers", s.gatekeepers},
+           {"workers", s.workers},
+           {"faults", stepsJson(record.steps)},
+           {"not_sent", record.notSent},
+           {"lab", labUse()},
+           {"gatekeeper_most", {{"kb", record.mostKb}, {"descriptors", record.mostDescriptors}}},
+           {"fates", fateCounts(judge)},
+           {"served_ms", servedQuantiles(judge)},
+           {"unmet", record.unmet}};
+  if (record.store) out["store"] = storeJson(*record.store);
+  if (!record.idleClients.empty()) out["idle_clients"] = idleClientsJson(record.idleClients);
+  if (!record.figures.empty()) out["figures"] = figuresJson(record.figures);
+  std::vector<std::string> broken = judge.broken();
+  broken.insert(broken.end(), record.crashes.begin(), record.crashes.end());
+  out["broken"] = broken;
+  const long brokenCount = judge.brokenCount() + static_cast<long>(record.crashes.size());
+  out["broken_count"] = brokenCount;
+  out["verdict"] = brokenCount == 0 && record.unmet.empty() ? "passed" : "failed";
+  return out;
+}
+
+}  // namespace
+
+void writeReport(const fs::path& out, const Scenario& scenario, const Judge& judge, const RunRecord& record) {
+  writeEvents(out / "events.jsonl", judge);
+  writePlot(out / "plot.svg", scenario, judge, record.marks);
+  std::ofstream(out / "summary.json") << summaryOf(scenario, judge, record).dump(1) << "\n";
+}
+
+int printReport(const fs::path& out) {
+  std::ifstream in(out / "summary.json");
+  if (!in) throw std::runtime_error("no summary.json in " + out.string());
+  const json s = json::parse(in);
+  std::cout << "scenario " << s["scenario"].get<std::string>() << ", seed " << s["seed"] << ", "
+            << s["gatekeepers"] << " gatekeepers, " << s["workers"] << " workers\n";
+  std::cout << "fates:";
+  for (const auto& [fate, n] : s["fates"].items()) std::cout << " " << fate << "=" << n;
+  std::cout << "\nserved ms: p50=" << s["served_ms"]["p50"] << " p90=" << s["served_ms"]["p90"]
+            << " p99=" << s["served_ms"]["p99"] << "\nlab: " << s["lab"]["cpu_s"] << " s of CPU, "
+            << s["lab"]["most_kb"] << " kB; a gatekeeper at most " << s["gatekeeper_most"]["kb"] << " kB, "
+            << s["gatekeeper_most"]["descriptors"] << " descriptors"
+            << (s.contains("store") ? "\nstore: " + s["store"]["calls"].dump() + " calls, at most " +
+                                          s["store"]["most_calls_a_second"].dump() + " a second; " +
+                                          std::to_string(s["store"]["claims"].size()) + " claims"
+                                    : "")
+            << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
+  if (s.contains("idle_clients"))
+    for (const auto& counts : s["idle_clients"])
+      std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
+                << " connections opened, " << counts["closed_by_gatekeeper"] << " closed by it, "
+                << counts["refused"] << " refused\n";
+  if (s.contains("figures"))
+    for (const auto& figure : s["figures"])
+      std::cout << "figure " << figure["name"].get<std::string>() << " (line " << figure["line"]
+                << "): " << figure["most"] << " at most\n";
+  for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
+  for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
+  std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
+  return s["verdict"] == "passed" ? 0 : 1;
+}
+
+}  // namespace wingslip::lab
