Lab: move the open-loop load and the run's clock out of the runner

Need: arrivals and each client's exchange stood in one function of 60 lines, with its state among the runner's. Change: open_load.{hpp,cpp} draws the arrivals and carries each request as an Exchange object of its own; run_clock.{hpp,cpp} is the run's time and what is due in it, which load and runner share. Seeds and the order of the random draws are the same.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -17,7 +17,9 @@
 #include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
 #include "net.hpp"
+#include "open_load.hpp"
 #include "process.hpp"
+#include "run_clock.hpp"
 #include "run_report.hpp"
 #include "store.hpp"
 
@@ -63,16 +65,22 @@
 class Fleet {
  public:
   Fleet(const Scenario& s, const RunOptions& o)
-      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(io_), figures_(figuresOf(s)) {}
+      : s_(s),
+        o_(o),
+        judge_(s.attemptsCap),
+        ports_(io_),
+        clock_(io_),
+        figures_(figuresOf(s)),
+        load_(io_, s, gatekeepers_, clock_, judge_, o.seed) {}
 
   int run() {
     fs::create_directories(o_.out);
     endLeftBehind(fs::path(o_.out) / "pids");
-    start_ = Clock::now();
+    clock_.restart();
     if (s_.store) startStore();
     for (int w = 0; w < s_.workers; ++w)
       workers_.push_back(std::make_unique<Worker>(
-          io_, w, s_, judge_, links_, [this] { return nowMs(); }, o_.seed * 1000 + w));
+          io_, w, s_, judge_, links_, [this] { return clock_.nowMs(); }, o_.seed * 1000 + w));
     if (s_.replica)
       for (int from = 0; from < s_.gatekeepers; ++from)
         for (int to = 0; to < s_.gatekeepers; ++to)
@@ -86,7 +94,7 @@
                         "127.0.0.1:" + std::to_string(proxies_.back()->port()), s_.zones[s_.zoneOf(w)],
                         "Ready", 0});
       }
-      agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return nowMs(); }));
+      agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return clock_.nowMs(); }));
       agentLinks_.push_back(std::make_unique<Proxy>(io_, g, agents_.back()->port(), links_));
       if (store_) storeLinks_.push_back(std::make_unique<Proxy>(io_, g, store_->port(), links_));
       gatekeepers_.push_back(configured(g));
@@ -96,15 +104,15 @@
     health();
     // The load begins once every gatekeeper is in the front, or after 15 s with those that are.
     waitForFront();
-    start_ = Clock::now();
-    for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
-    arrive();
+    clock_.restart();
+    for (const Step& step : s_.steps) clock_.at(step.atS, [this, step] { apply(step); });
+    load_.arrive();
     playIdleClients();
     askFigures();
     progress();
-    if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
-    if (s_.replica) at(s_.lengthS + 0.5, [this] { askCopies(); });
-    at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
+    if (store_) clock_.at(s_.lengthS + 0.5, [this] { askRosters(); });
+    if (s_.replica) clock_.at(s_.lengthS + 0.5, [this] { askCopies(); });
+    clock_.at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
     io_.run();
     return verdict();
   }
@@ -119,24 +127,24 @@
       const json record = json::parse(value, nullptr, false);
       if (key != "lab/duties/roster/record" || !record.is_object()) return;
       const std::string holder = record.value("holder", "");
-      if (judge_.recorded(record.value("token", std::uint64_t{0}), holder, nowMs())) {
+      if (judge_.recorded(record.value("token", std::uint64_t{0}), holder, clock_.nowMs())) {
         // members/gN/INSTANCE names the gatekeeper behind the instance.
         int gatekeeper = -1;
         for (const std::string& member : members)
           if (member.ends_with("/" + holder))
             gatekeeper = std::atoi(member.c_str() + std::string("lab/members/g").size());
         spdlog::info("event=claim token={} gatekeeper={} at_ms={:.0f}", record["token"].dump(), gatekeeper,
-                     nowMs());
+                     clock_.nowMs());
         holder_ = std::max(0, gatekeeper);
-        noted_.push_back({"claims", gatekeeper, nowMs()});
-        claims_.push_back({nowMs(), gatekeeper, record["token"].get<std::uint64_t>()});
-        record_.marks.push_back({nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
+        noted_.push_back({"claims", gatekeeper, clock_.nowMs()});
+        claims_.push_back({clock_.nowMs(), gatekeeper, record["token"].get<std::uint64_t>()});
+        record_.marks.push_back({clock_.nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
       }
       const json roster = json::parse(record.value("data", ""), nullptr, false);
       if (!roster.is_object()) return;
       std::map<std::string, long> counts;
       for (const auto& [name, row] : roster["rows"].items()) ++counts[row[0].get<std::string>()];
-      rosters_.emplace_back(nowMs(), counts);
+      rosters_.emplace_back(clock_.nowMs(), counts);
       rosterVersion_ = roster.value("version", std::uint64_t{0});
     };
   }
@@ -147,7 +155,7 @@
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "roster", [this, g = gk.index](const std::string& answer) {
           const std::string version = " version=" + std::to_string(rosterVersion_) + " ";
-          if (answer.rfind("200" + version, 0) == 0) noted_.push_back({"roster_agreed", g, nowMs()});
+          if (answer.rfind("200" + version, 0) == 0) noted_.push_back({"roster_agreed", g, clock_.nowMs()});
         });
   }
 
@@ -166,8 +174,8 @@
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "telemetry",
-               [this, g = gk.index](const std::string& answer) { figures_.told(g, nowMs(), answer); });
-    at(nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
+               [this, g = gk.index](const std::string& answer) { figures_.told(g, clock_.nowMs(), answer); });
+    clock_.at(clock_.nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
   }
 
   // The largest value of a figure; none where a gatekeeper that it is expected of did not tell it.
@@ -191,8 +199,8 @@
 
   void playIdleClients() {
     for (const auto& [gatekeeper, clients] : idleClients_) {
-      at(s_.idle.fromS, [&clients = *clients] { clients.start(); });
-      at(s_.idle.untilS, [&clients = *clients] { clients.stop(); });
+      clock_.at(s_.idle.fromS, [&clients = *clients] { clients.start(); });
+      clock_.at(s_.idle.untilS, [&clients = *clients] { clients.stop(); });
     }
   }
 
@@ -252,16 +260,6 @@
     return gk;
   }
 
-  double nowMs() const { return std::chrono::duration<double, std::milli>(Clock::now() - start_).count(); }
-
-  void at(double seconds, std::function<void()> what) {
-    auto timer = std::make_shared<asio::steady_timer>(
-        io_, start_ + std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-    timer->async_wait([timer, what = std::move(what)](const Error& error) {
-      if (!error) what();
-    });
-  }
-
   void launch(Gatekeeper& gk) {
     gk.now = start(gk, ports_, o_.burlwind);
     gk.stopped = false, gk.inFront = false, gk.misses = 0;
@@ -282,11 +280,11 @@
       Gatekeeper& gk = gatekeepers_[g];
       if (finishing_ || gk.now.pid != pid) return;
       if (answer.rfind("200", 0) == 0) {
-        spdlog::info("event=upgraded gatekeeper={} at_ms={:.0f}", g, nowMs());
+        spdlog::info("event=upgraded gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
         if (gk.old.pid > 0) ::kill(gk.old.pid, SIGTERM);
         return;
       }
-      at(nowMs() / 1000 + 0.05, [this, g, pid] { awaitReady(g, pid); });
+      clock_.at(clock_.nowMs() / 1000 + 0.05, [this, g, pid] { awaitReady(g, pid); });
     });
   }
 
@@ -307,7 +305,7 @@
       if (gk.old.pid > 0 && ::waitpid(gk.old.pid, &status, WNOHANG) == gk.old.pid) {
         gk.old = {};
         if (status == 0)
-          noted_.push_back({"upgrades", gk.index, nowMs()});
+          noted_.push_back({"upgrades", gk.index, clock_.nowMs()});
         else
           record_.crashes.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
                                     ": the old process ended with " + std::to_string(status));
@@ -318,17 +316,18 @@
       if (!byLab && !finishing_) {
         record_.crashes.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
                                   std::to_string(status));
-        judge_.down(gk.index, nowMs());
+        judge_.down(gk.index, clock_.nowMs());
       }
     }
   }
 
   // One line every 10 s of a long run.
   void progress() {
-    at(nowMs() / 1000 + 10, [this] {
+    clock_.at(clock_.nowMs() / 1000 + 10, [this] {
       if (finishing_) return;
-      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}", nowMs() / 1000,
-                   s_.lengthS, judge_.requests().size(), inFlight_, record_.notSent);
+      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}",
+                   clock_.nowMs() / 1000, s_.lengthS, judge_.requests().size(), load_.inFlight(),
+                   load_.notSent());
       progress();
     });
   }
@@ -356,7 +355,7 @@
             if (re || reply->result() != http::status::ok) return miss(g, timer);
             Gatekeeper& k = gatekeepers_[g];
             k.misses = 0;
-            if (!k.inFront) spdlog::info("event=in_front gatekeeper={} at_ms={:.0f}", g, nowMs());
+            if (!k.inFront) spdlog::info("event=in_front gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
             k.inFront = true;
           });
         });
@@ -372,7 +371,7 @@
     Gatekeeper& gk = gatekeepers_[g];
     if (++gk.misses >= kMissesOut && gk.inFront) {
       gk.inFront = false;
-      spdlog::info("event=out_of_front gatekeeper={} at_ms={:.0f}", g, nowMs());
+      spdlog::info("event=out_of_front gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
     }
   }
 
@@ -433,19 +432,19 @@
     if (step.gatekeeper && !step.worker && !step.zone) {
       Gatekeeper& gk = gatekeepers_[*step.gatekeeper];
       const int g = gk.index;
-      if (step.what == "kill") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGKILL);
-      if (step.what == "term") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGTERM);
-      if (step.what == "stop") judge_.down(g, nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
-      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs()), gk.stopped = false;
+      if (step.what == "kill") ended_.insert(g), judge_.down(g, clock_.nowMs()), signal(gk, SIGKILL);
+      if (step.what == "term") ended_.insert(g), judge_.down(g, clock_.nowMs()), signal(gk, SIGTERM);
+      if (step.what == "stop") judge_.down(g, clock_.nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
+      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, clock_.nowMs()), gk.stopped = false;
       if (step.what == "hup") hup(gk, step.patch);
       if (step.what == "upgrade") upgrade(gk);
       if (step.what == "invalidate") store_->invalidate("g" + std::to_string(g));
       if (step.what == "restart") {
         if (gk.now.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.now.pid, nullptr, 0), gk.now = {};
         ended_.erase(g);
-        judge_.down(g, nowMs());
+        judge_.down(g, clock_.nowMs());
         launch(gk);
-        judge_.up(g, nowMs());
+        judge_.up(g, clock_.nowMs());
       }
       if (step.what == "agent_down" || step.what == "agent_up")
         agents_[g]->setDown(step.what == "agent_down");
@@ -482,77 +481,6 @@
     return out;
   }
 
-  // Open-loop Poisson arrivals over the fleet until the end of the load.
-  void arrive() {
-    std::exponential_distribution<double> gap(s_.rate);
-    nextS_ += s_.rate > 0 ? gap(random_) : 1e9;
-    if (nextS_ >= s_.lengthS) return;
-    at(nextS_, [this] {
-      send();
-      arrive();
-    });
-  }
-
-  void send() {
-    std::vector<int> front;
-    for (const Gatekeeper& gk : gatekeepers_)
-      if (gk.inFront) front.push_back(gk.index);
-    if (front.empty() || inFlight_ >= s_.mostInFlight) return void(++record_.notSent);
-    const int g = front[std::uniform_int_distribution<std::size_t>(0, front.size() - 1)(random_)];
-    const int customer = std::uniform_int_distribution<int>(1, s_.customers)(random_);
-    const bool edit = std::uniform_real_distribution<double>()(random_) < s_.editShare;
-    const std::uint64_t id = random_() >> 1 | 1;
-    char text[17], client[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
-    std::snprintf(client, sizeof client, "%016x", customer);
-    auto request = std::make_shared<http::request<http::string_body>>(
-        edit ? http::verb::post : http::verb::get,
-        std::string(edit ? "/edit" : "/look") + "?client=" + client, 11);
-    request->set(http::field::host, "backend.local");
-    request->set("Req-Id", text);
-    request->set("X-Tier", "large");
-    request->set("Req-Deadline-Ms", std::to_string(static_cast<long>(s_.deadlineMs)));
-    request->set("X-Call-Terms", "units=1,spread=" + std::to_string(s_.gatekeepers) + ",first=0");
-    if (edit) {
-      request->set("Idempotency-Key", std::string(text) + std::string(text));
-      request->body() = "{\"edit\":" + std::to_string(customer) + "}";
-      request->prepare_payload();
-    }
-    judge_.sent(id, g, nowMs(), s_.deadlineMs);
-    ++inFlight_;
-    auto socket = std::make_shared<tcp::socket>(io_);
-    auto buffer = std::make_shared<beast::flat_buffer>();
-    auto reply = std::make_shared<http::response<http::string_body>>();
-    auto done = std::make_shared<bool>(false);
-    auto timer = std::make_shared<asio::steady_timer>(
-        io_, std::chrono::milliseconds(static_cast<long>(s_.deadlineMs + 600)));
-    auto end = [this, socket, timer, done, id](Fate fate, int status, const std::string& body) {
-      if (std::exchange(*done, true)) return;
-      --inFlight_;
-      timer->cancel();
-      Error ignored;
-      socket->close(ignored);
-      if (fate == Fate::open)
-        judge_.answered(id, nowMs(), status, body);
-      else
-        judge_.ended(id, nowMs(), fate);
-    };
-    timer->async_wait([end](const Error& e) {
-      if (!e) end(Fate::lost, 0, "");  // the client gives up
-    });
-    socket->async_connect(
-        tcp::endpoint(asio::ip::address_v4::loopback(), gatekeepers_[g].port), [=](const Error& e) {
-          if (e) return end(Fate::unreachable, 0, "");
-          http::async_write(*socket, *request, [=, keepRequest = request](const Error& we, std::size_t) {
-            if (we) return end(Fate::unreachable, 0, "");
-            http::async_read(*socket, *buffer, *reply, [=, keep = buffer](const Error& re, std::size_t) {
-              if (re) return end(Fate::closed, 0, "");
-              end(Fate::open, reply->result_int(), reply->body());
-            });
-          });
-        });
-  }
-
   void finish() {
     finishing_ = true;
     for (const Gatekeeper& gk : gatekeepers_) measure(gk);
@@ -560,7 +488,7 @@
       if (gk.stopped) signal(gk, SIGCONT);
       signal(gk, SIGTERM);
     }
-    judge_.close(nowMs());
+    judge_.close(clock_.nowMs());
     const auto limit = Clock::now() + std::chrono::seconds(5);
     for (Gatekeeper& gk : gatekeepers_) {
       for (Process* one : {&gk.now, &gk.old}) {
@@ -639,6 +567,7 @@
 
   int verdict() {
     record_.seed = o_.seed;
+    record_.notSent = load_.notSent();
     if (store_) record_.store = StoreUse{store_->calls(), store_->callsBySecond(), claims_};
     for (const auto& [g, clients] : idleClients_) record_.idleClients[g] = clients->counts();
     for (const Expect& e : s_.expects)
@@ -652,10 +581,9 @@
   const RunOptions& o_;
   asio::io_context io_;
   Judge judge_;
-  std::mt19937_64 random_;
   Ports ports_;
   LinkOf links_;
-  Clock::time_point start_;
+  RunClock clock_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Agent>> agents_;
@@ -667,6 +595,7 @@
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
   Figures figures_;
+  OpenLoad load_;
   std::set<int> ended_;
   RunRecord record_;
   struct Noted {
@@ -679,8 +608,6 @@
   std::uint64_t rosterVersion_ = 0;
   int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
   std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
-  double nextS_ = 0;
-  int inFlight_ = 0;
   bool finishing_ = false;
 };
 
--- /dev/null
+++ b/tools/lab/open_load.cpp
@@ -0,0 +1,137 @@
+#include "open_load.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+namespace wingslip::lab {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+using HttpRequest = http::request<http::string_body>;
+
+constexpr double kNever = 1e9;       // seconds, past the end of any load
+constexpr double kPatienceMs = 600;  // past its deadline a client still waits for the answer
+
+HttpRequest requestOf(const Scenario& scenario, std::uint64_t id, int customer, bool edit) {
+  char text[17], client[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
+  std::snprintf(client, sizeof client, "%016x", customer);
+  HttpRequest out(edit ? http::verb::post : http::verb::get,
+                  std::string(edit ? "/edit" : "/look") + "?client=" + client, 11);
+  out.set(http::field::host, "backend.local");
+  out.set("Req-Id", text);
+  out.set("X-Tier", "large");
+  out.set("Req-Deadline-Ms", std::to_string(static_cast<long>(scenario.deadlineMs)));
+  out.set("X-Call-Terms", "units=1,spread=" + std::to_string(scenario.gatekeepers) + ",first=0");
+  if (edit) {
+    out.set("Idempotency-Key", std::string(text) + std::string(text));
+    out.body() = "{\"edit\":" + std::to_string(customer) + "}";
+    out.prepare_payload();
+  }
+  return out;
+}
+
+}  // namespace
+
+// One request on a connection of its own, until its answer, its failure or the end of the client's patience.
+class OpenLoad::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(OpenLoad& load, std::uint64_t id, HttpRequest request)
+      : load_(load), id_(id), request_(std::move(request)), socket_(load.io_), timer_(load.io_) {}
+
+  void start(unsigned short port) {
+    timer_.expires_after(
+        std::chrono::milliseconds(static_cast<long>(load_.scenario_.deadlineMs + kPatienceMs)));
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      if (!error) self->end(Fate::lost);
+    });
+    socket_.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), port),
+                          [self = shared_from_this()](const Error& error) {
+                            if (error) return self->end(Fate::unreachable);
+                            self->write();
+                          });
+  }
+
+ private:
+  void write() {
+    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, std::size_t) {
+      if (error) return self->end(Fate::unreachable);
+      self->read();
+    });
+  }
+
+  void read() {
+    http::async_read(socket_, buffer_, reply_, [self = shared_from_this()](const Error& error, std::size_t) {
+      self->end(error ? Fate::closed : Fate::open);
+    });
+  }
+
+  // open: answered, the judge decides.
+  void end(Fate fate) {
+    if (std::exchange(done_, true)) return;
+    --load_.inFlight_;
+    timer_.cancel();
+    Error ignored;
+    socket_.close(ignored);
+    if (fate == Fate::open)
+      load_.judge_.answered(id_, load_.clock_.nowMs(), static_cast<int>(reply_.result_int()), reply_.body());
+    else
+      load_.judge_.ended(id_, load_.clock_.nowMs(), fate);
+  }
+
+  OpenLoad& load_;
+  const std::uint64_t id_;
+  HttpRequest request_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  http::response<http::string_body> reply_;
+  bool done_ = false;
+};
+
+OpenLoad::OpenLoad(asio::io_context& io, const Scenario& scenario, const std::vector<Gatekeeper>& gatekeepers,
+                   RunClock& clock, Judge& judge, std::uint64_t seed)
+    : io_(io), scenario_(scenario), gatekeepers_(gatekeepers), clock_(clock), judge_(judge), random_(seed) {}
+
+void OpenLoad::arrive() {
+  std::exponential_distribution<double> gap(scenario_.rate);
+  nextS_ += scenario_.rate > 0 ? gap(random_) : kNever;
+  if (nextS_ >= scenario_.lengthS) return;
+  clock_.at(nextS_, [this] {
+    send();
+    arrive();
+  });
+}
+
+std::vector<int> OpenLoad::front() const {
+  std::vector<int> out;
+  for (const Gatekeeper& gatekeeper : gatekeepers_)
+    if (gatekeeper.inFront) out.push_back(gatekeeper.index);
+  return out;
+}
+
+void OpenLoad::send() {
+  const std::vector<int> able = front();
+  if (able.empty() || inFlight_ >= scenario_.mostInFlight) return void(++notSent_);
+  const int gatekeeper = able[std::uniform_int_distribution<std::size_t>(0, able.size() - 1)(random_)];
+  const int customer = std::uniform_int_distribution<int>(1, scenario_.customers)(random_);
+  const bool edit = std::uniform_real_distribution<double>()(random_) < scenario_.editShare;
+  const std::uint64_t id = random_() >> 1 | 1;
+  judge_.sent(id, gatekeeper, clock_.nowMs(), scenario_.deadlineMs);
+  ++inFlight_;
+  std::make_shared<Exchange>(*this, id, requestOf(scenario_, id, customer, edit))
+      ->start(gatekeepers_[gatekeeper].port);
+}
+
+}  // namespace wingslip::lab
--- /dev/null
+++ b/tools/lab/run_clock.cpp
@@ -0,0 +1,21 @@
+#include "run_clock.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <utility>
+
+namespace wingslip::lab {
+
+double RunClock::nowMs() const {
+  return std::chrono::duration<double, std::milli>(Steady::now() - start_).count();
+}
+
+void RunClock::at(double seconds, std::function<void()> what) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      io_, start_ + std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
+  timer->async_wait([timer, what = std::move(what)](const boost::system::error_code& error) {
+    if (!error) what();
+  });
+}
+
+}  // namespace wingslip::lab
