Lab: move the front's health checks out of the runner

Need: what a load balancer in front of the fleet decides was nested in three callbacks of the runner. Change: front.{hpp,cpp} checks each gatekeeper and takes it in or out; the runner keeps the period and the reaping before each check. Log lines and limits are the same.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -6,14 +6,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "figures.hpp"
+#include "front.hpp"
 #include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
 #include "net.hpp"
@@ -24,17 +24,13 @@
 #include "store.hpp"
 
 namespace wingslip::lab {
-namespace beast = boost::beast;
-namespace http = beast::http;
 namespace fs = std::filesystem;
 using Error = boost::system::error_code;
 using nlohmann::json;
 
 namespace {
 
-constexpr auto kHealthEvery = std::chrono::milliseconds(250);
-constexpr int kMissesOut = 3;  // the front takes a gatekeeper out after this many silent health checks
-constexpr double kTailS = 2;   // after the load, for the last answers
+constexpr double kTailS = 2;  // after the load, for the last answers
 constexpr double kFiguresEveryS = 0.5;
 constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
 constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
@@ -71,6 +67,7 @@
         ports_(io_),
         clock_(io_),
         figures_(figuresOf(s)),
+        front_(io_, gatekeepers_, clock_),
         load_(io_, s, gatekeepers_, clock_, judge_, o.seed) {}
 
   int run() {
@@ -332,56 +329,20 @@
     });
   }
 
-  // The front: a health check of each gatekeeper every 250 ms; in at the first 200, out after three misses.
+  // Looks at each gatekeeper in every period: its process, and its health for the front.
   void health() {
     reap();
-    for (Gatekeeper& gk : gatekeepers_) {
-      auto socket = std::make_shared<tcp::socket>(io_);
-      auto timer = std::make_shared<asio::steady_timer>(io_, kHealthEvery);
-      auto buffer = std::make_shared<beast::flat_buffer>();
-      auto reply = std::make_shared<http::response<http::string_body>>();
-      auto request = std::make_shared<http::request<http::empty_body>>(http::verb::get, "/health/ready", 11);
-      timer->async_wait([socket](const Error& e) {
-        if (!e) socket->close();
-      });
-      const int g = gk.index;
-      socket->async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), gk.port), [=,
-                                                                                       this](const Error& e) {
-        if (e) return miss(g, timer);
-        http::async_write(*socket, *request, [=, this, keepRequest = request](const Error& we, std::size_t) {
-          if (we) return miss(g, timer);
-          http::async_read(*socket, *buffer, *reply, [=, this, keep = buffer](const Error& re, std::size_t) {
-            timer->cancel();
-            if (re || reply->result() != http::status::ok) return miss(g, timer);
-            Gatekeeper& k = gatekeepers_[g];
-            k.misses = 0;
-            if (!k.inFront) spdlog::info("event=in_front gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
-            k.inFront = true;
-          });
-        });
-      });
-    }
+    front_.check();
     if (finishing_) return;
     auto next = std::make_shared<asio::steady_timer>(io_, kHealthEvery);
     next->async_wait([this, next](const Error&) { health(); });
   }
 
-  void miss(int g, const std::shared_ptr<asio::steady_timer>& timer) {
-    timer->cancel();
-    Gatekeeper& gk = gatekeepers_[g];
-    if (++gk.misses >= kMissesOut && gk.inFront) {
-      gk.inFront = false;
-      spdlog::info("event=out_of_front gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
-    }
-  }
-
   void waitForFront() {
     const auto limit = Clock::now() + std::chrono::seconds(15);
     while (Clock::now() < limit) {
       io_.run_for(std::chrono::milliseconds(100));
-      if (std::all_of(gatekeepers_.begin(), gatekeepers_.end(),
-                      [](const Gatekeeper& gk) { return gk.inFront; }))
-        return;
+      if (front_.allIn()) return;
     }
     spdlog::warn("event=not_all_ready after_s=15");
   }
@@ -595,6 +556,7 @@
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
   Figures figures_;
+  Front front_;
   OpenLoad load_;
   std::set<int> ended_;
   RunRecord record_;
--- /dev/null
+++ b/tools/lab/front.cpp
@@ -0,0 +1,97 @@
+#include "front.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace wingslip::lab {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+constexpr int kMissesOut = 3;  // a gatekeeper leaves the front after this many silent health checks
+
+}  // namespace
+
+// One call of a gatekeeper's /health/ready, on a connection of its own.
+class Front::HealthCheck : public std::enable_shared_from_this<HealthCheck> {
+ public:
+  HealthCheck(Front& front, int gatekeeper)
+      : front_(front), gatekeeper_(gatekeeper), socket_(front.io_), timer_(front.io_, kHealthEvery) {}
+
+  void start(unsigned short port) {
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      Error ignored;
+      if (!error) self->socket_.close(ignored);
+    });
+    socket_.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), port),
+                          [self = shared_from_this()](const Error& error) {
+                            if (error) return self->end(false);
+                            self->write();
+                          });
+  }
+
+ private:
+  void write() {
+    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, std::size_t) {
+      if (error) return self->end(false);
+      self->read();
+    });
+  }
+
+  void read() {
+    http::async_read(socket_, buffer_, reply_, [self = shared_from_this()](const Error& error, std::size_t) {
+      self->end(!error && self->reply_.result() == http::status::ok);
+    });
+  }
+
+  void end(bool ready) {
+    timer_.cancel();
+    if (ready)
+      front_.hit(gatekeeper_);
+    else
+      front_.miss(gatekeeper_);
+  }
+
+  Front& front_;
+  const int gatekeeper_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_{http::verb::get, "/health/ready", 11};
+  http::response<http::string_body> reply_;
+};
+
+void Front::check() {
+  for (const Gatekeeper& gatekeeper : gatekeepers_)
+    std::make_shared<HealthCheck>(*this, gatekeeper.index)->start(gatekeeper.port);
+}
+
+bool Front::allIn() const {
+  return std::all_of(gatekeepers_.begin(), gatekeepers_.end(),
+                     [](const Gatekeeper& gatekeeper) { return gatekeeper.inFront; });
+}
+
+void Front::hit(int gatekeeper) {
+  Gatekeeper& gk = gatekeepers_[gatekeeper];
+  gk.misses = 0;
+  if (!gk.inFront) spdlog::info("event=in_front gatekeeper={} at_ms={:.0f}", gatekeeper, clock_.nowMs());
+  gk.inFront = true;
+}
+
+void Front::miss(int gatekeeper) {
+  Gatekeeper& gk = gatekeepers_[gatekeeper];
+  if (++gk.misses < kMissesOut || !gk.inFront) return;
+  gk.inFront = false;
+  spdlog::info("event=out_of_front gatekeeper={} at_ms={:.0f}", gatekeeper, clock_.nowMs());
+}
+
+}  // namespace wingslip::lab
