Lab: move the check of expectations out of the runner

Need: what a scenario expects was judged by one function over six fields of the runner. The lines of expectations that do not hold are the same.

--- /dev/null
+++ b/tools/lab/expectations.cpp
@@ -0,0 +1,114 @@
+#include "expectations.hpp"
+
+#include <algorithm>
+
+namespace wingslip::lab {
+
+namespace {
+
+constexpr double kMsPerS = 1000;
+const std::string kRosterPrefix = "roster_";
+const std::string kRosterAgreed = "roster_agreed";
+
+bool holds(const Expect& expect, std::optional<long> count) {
+  return count && (!expect.min || *count >= *expect.min) && (!expect.max || *count <= *expect.max);
+}
+
+std::string unmetLine(const Expect& expect, std::optional<long> count) {
+  return "line " + std::to_string(expect.line) + ": " + expect.fate +
+         (expect.figure.empty() ? "" : " " + expect.figure) + " " +
+         (count ? std::to_string(*count) : "not told") + " not within " +
+         std::to_string(expect.min.value_or(0)) + ".." + (expect.max ? std::to_string(*expect.max) : "any");
+}
+
+}  // namespace
+
+std::vector<std::string> expectedFigures(const Scenario& scenario) {
+  std::vector<std::string> out;
+  for (const Expect& expect : scenario.expects)
+    if (expect.fate == "figure" && std::find(out.begin(), out.end(), expect.figure) == out.end())
+      out.push_back(expect.figure);
+  return out;
+}
+
+std::optional<long> Expectations::figure(const Expect& expect) const {
+  std::optional<long> most;
+  for (int g = 0; g < scenario_.gatekeepers; ++g) {
+    if (expect.gatekeeper && *expect.gatekeeper != g) continue;
+    const std::optional<long> told =
+        observations_.figures.most(expect.figure, g, expect.afterS * kMsPerS, expect.beforeS * kMsPerS);
+    if (!told) return std::nullopt;
+    most = std::max(most.value_or(*told), *told);
+  }
+  return most;
+}
+
+std::vector<std::string> Expectations::unmet() const {
+  std::vector<std::string> out;
+  for (const Expect& expect : scenario_.expects) {
+    const std::optional<long> counted = count(expect);
+    if (!holds(expect, counted)) out.push_back(unmetLine(expect, counted));
+  }
+  return out;
+}
+
+// None where nobody told it.
+std::optional<long> Expectations::count(const Expect& expect) const {
+  const double afterMs = expect.afterS * kMsPerS, beforeMs = expect.beforeS * kMsPerS;
+  if (expect.fate == "figure") return figure(expect);
+  if (expect.fate == "idle_opened") return idleClients(expect.gatekeeper).opened;
+  if (expect.fate == "idle_closed") return idleClients(expect.gatekeeper).closed;
+  if (expect.fate == "idle_refused") return idleClients(expect.gatekeeper).refused;
+  if (expect.fate == "attempts") return attempts(expect);
+  if (const auto fate = fateOf(expect.fate)) return judge_.count(*fate, expect.gatekeeper, afterMs, beforeMs);
+  if (expect.fate == "copies_equal") return mostEqualCopies();
+  if (expect.fate.rfind(kRosterPrefix, 0) == 0 && expect.fate != kRosterAgreed)
+    return namesInRoster(expect.fate.substr(kRosterPrefix.size()), beforeMs);
+  return noted(expect);
+}
+
+// Of one gatekeeper, or of all.
+IdleClientCounts Expectations::idleClients(std::optional<int> gatekeeper) const {
+  IdleClientCounts out;
+  for (const auto& [g, counts] : observations_.idleClients) {
+    if (gatekeeper && *gatekeeper != g) continue;
+    out.opened += counts.opened;
+    out.closed += counts.closed;
+    out.refused += counts.refused;
+  }
+  return out;
+}
+
+long Expectations::attempts(const Expect& expect) const {
+  const auto meant = [&](int worker) {
+    return expect.worker ? worker == *expect.worker
+                         : scenario_.zones[scenario_.zoneOf(worker)] == *expect.zone;
+  };
+  return judge_.attempts(meant, expect.afterS * kMsPerS, expect.beforeS * kMsPerS);
+}
+
+long Expectations::mostEqualCopies() const {
+  long most = 0;
+  for (const auto& [copy, gatekeepers] : observations_.copies) most = std::max(most, gatekeepers);
+  return most;
+}
+
+// In the last roster recorded before that time.
+long Expectations::namesInRoster(const std::string& state, double beforeMs) const {
+  long out = 0;
+  for (const RecordedRoster& roster : observations_.rosters) {
+    const auto found = roster.namesByState.find(state);
+    if (roster.atMs < beforeMs) out = found == roster.namesByState.end() ? 0 : found->second;
+  }
+  return out;
+}
+
+long Expectations::noted(const Expect& expect) const {
+  const double afterMs = expect.afterS * kMsPerS, beforeMs = expect.beforeS * kMsPerS;
+  return std::count_if(observations_.noted.begin(), observations_.noted.end(), [&](const Noted& noted) {
+    return noted.what == expect.fate && (!expect.gatekeeper || *expect.gatekeeper == noted.gatekeeper) &&
+           noted.atMs >= afterMs && noted.atMs < beforeMs;
+  });
+}
+
+}  // namespace wingslip::lab
--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "figures.hpp"
+#include "expectations.hpp"
 #include "front.hpp"
 #include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
@@ -39,14 +39,6 @@
     {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
     {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
 
-std::vector<std::string> figuresOf(const Scenario& s) {
-  std::vector<std::string> out;
-  for (const Expect& e : s.expects)
-    if (e.fate == "figure" && std::find(out.begin(), out.end(), e.figure) == out.end())
-      out.push_back(e.figure);
-  return out;
-}
-
 // Each idle client takes a descriptor of the lab's own. Throws where its limit does not hold them.
 void checkDescriptors(const Scenario& s) {
   const int crowded = s.idle.gatekeeper ? 1 : s.gatekeepers;
@@ -66,7 +58,7 @@
         judge_(s.attemptsCap),
         ports_(io_),
         clock_(io_),
-        figures_(figuresOf(s)),
+        observed_{{}, {}, {}, {}, Figures(expectedFigures(s))},
         front_(io_, gatekeepers_, clock_),
         load_(io_, s, gatekeepers_, clock_, judge_, o.seed) {}
 
@@ -133,7 +125,7 @@
         spdlog::info("event=claim token={} gatekeeper={} at_ms={:.0f}", record["token"].dump(), gatekeeper,
                      clock_.nowMs());
         holder_ = std::max(0, gatekeeper);
-        noted_.push_back({"claims", gatekeeper, clock_.nowMs()});
+        observed_.noted.push_back({"claims", gatekeeper, clock_.nowMs()});
         claims_.push_back({clock_.nowMs(), gatekeeper, record["token"].get<std::uint64_t>()});
         record_.marks.push_back({clock_.nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
       }
@@ -141,7 +133,7 @@
       if (!roster.is_object()) return;
       std::map<std::string, long> counts;
       for (const auto& [name, row] : roster["rows"].items()) ++counts[row[0].get<std::string>()];
-      rosters_.emplace_back(clock_.nowMs(), counts);
+      observed_.rosters.push_back({clock_.nowMs(), counts});
       rosterVersion_ = roster.value("version", std::uint64_t{0});
     };
   }
@@ -152,7 +144,8 @@
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "roster", [this, g = gk.index](const std::string& answer) {
           const std::string version = " version=" + std::to_string(rosterVersion_) + " ";
-          if (answer.rfind("200" + version, 0) == 0) noted_.push_back({"roster_agreed", g, clock_.nowMs()});
+          if (answer.rfind("200" + version, 0) == 0)
+            observed_.noted.push_back({"roster_agreed", g, clock_.nowMs()});
         });
   }
 
@@ -161,32 +154,21 @@
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "replica", [this](const std::string& answer) {
-          if (answer.rfind("200 copy=", 0) == 0) ++copies_[answer.substr(9, 16)];
+          if (answer.rfind("200 copy=", 0) == 0) ++observed_.copies[answer.substr(9, 16)];
         });
   }
 
   // What gatekeepers tell operators of the figures expected: asked of all of them in every period.
   void askFigures() {
-    if (finishing_ || !figures_.wanted()) return;
+    if (finishing_ || !observed_.figures.wanted()) return;
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.now.pid > 0)
-        askOps(io_, gk.now.ops, "telemetry",
-               [this, g = gk.index](const std::string& answer) { figures_.told(g, clock_.nowMs(), answer); });
+        askOps(io_, gk.now.ops, "telemetry", [this, g = gk.index](const std::string& answer) {
+          observed_.figures.told(g, clock_.nowMs(), answer);
+        });
     clock_.at(clock_.nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
   }
 
-  // The largest value of a figure; none where a gatekeeper that it is expected of did not tell it.
-  std::optional<long> figure(const Expect& e) const {
-    std::optional<long> most;
-    for (int g = 0; g < s_.gatekeepers; ++g) {
-      if (e.gatekeeper && *e.gatekeeper != g) continue;
-      const std::optional<long> told = figures_.most(e.figure, g, e.afterS * 1000, e.beforeS * 1000);
-      if (!told) return std::nullopt;
-      most = std::max(most.value_or(*told), *told);
-    }
-    return most;
-  }
-
   void addIdleClients() {
     for (const Gatekeeper& gk : gatekeepers_)
       if (!s_.idle.gatekeeper || *s_.idle.gatekeeper == gk.index)
@@ -201,19 +183,6 @@
     }
   }
 
-  // What has happened to the idle clients of one gatekeeper, or of all.
-  IdleClientCounts idleCounts(std::optional<int> gatekeeper) const {
-    IdleClientCounts out;
-    for (const auto& [g, clients] : idleClients_) {
-      if (gatekeeper && *gatekeeper != g) continue;
-      const IdleClientCounts& counts = clients->counts();
-      out.opened += counts.opened;
-      out.closed += counts.closed;
-      out.refused += counts.refused;
-    }
-    return out;
-  }
-
   void storeFault(const std::string& what) {
     if (what == "store_stop") store_->stop();
     if (what == "store_start") store_->startAgain();
@@ -302,7 +271,7 @@
       if (gk.old.pid > 0 && ::waitpid(gk.old.pid, &status, WNOHANG) == gk.old.pid) {
         gk.old = {};
         if (status == 0)
-          noted_.push_back({"upgrades", gk.index, clock_.nowMs()});
+          observed_.noted.push_back({"upgrades", gk.index, clock_.nowMs()});
         else
           record_.crashes.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
                                     ": the old process ended with " + std::to_string(status));
@@ -481,59 +450,16 @@
     record_.mostDescriptors = std::max(record_.mostDescriptors, fds);
   }
 
-  // None where nobody told it.
-  std::optional<long> counted(const Expect& e) const {
-    if (e.fate == "figure") return figure(e);
-    if (e.fate == "idle_opened") return idleCounts(e.gatekeeper).opened;
-    if (e.fate == "idle_closed") return idleCounts(e.gatekeeper).closed;
-    if (e.fate == "idle_refused") return idleCounts(e.gatekeeper).refused;
-    const double after = e.afterS * 1000, before = e.beforeS * 1000;
-    if (e.fate == "attempts")
-      return judge_.attempts(
-          [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
-          before);
-    if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
-    if (e.fate == "copies_equal") {
-      long most = 0;
-      for (const auto& [copy, n] : copies_) most = std::max(most, n);
-      return most;
-    }
-    if (e.fate.rfind("roster_", 0) == 0 && e.fate != "roster_agreed") {
-      long n = 0;
-      for (const auto& [at, counts] : rosters_) {
-        const auto found = counts.find(e.fate.substr(7));
-        if (at < before) n = found == counts.end() ? 0 : found->second;
-      }
-      return n;
-    }
-    return std::count_if(noted_.begin(), noted_.end(), [&](const Noted& n) {
-      return n.what == e.fate && (!e.gatekeeper || *e.gatekeeper == n.gatekeeper) && n.atMs >= after &&
-             n.atMs < before;
-    });
-  }
-
-  // What the expectations ask of the run and is not so.
-  std::vector<std::string> unmet() const {
-    std::vector<std::string> out;
-    for (const Expect& e : s_.expects) {
-      const std::optional<long> n = counted(e);
-      if (!n || (e.min && *n < *e.min) || (e.max && *n > *e.max))
-        out.push_back("line " + std::to_string(e.line) + ": " + e.fate +
-                      (e.figure.empty() ? "" : " " + e.figure) + " " + (n ? std::to_string(*n) : "not told") +
-                      " not within " + std::to_string(e.min.value_or(0)) + ".." +
-                      (e.max ? std::to_string(*e.max) : "any"));
-    }
-    return out;
-  }
-
   int verdict() {
     record_.seed = o_.seed;
     record_.notSent = load_.notSent();
     if (store_) record_.store = StoreUse{store_->calls(), store_->callsBySecond(), claims_};
-    for (const auto& [g, clients] : idleClients_) record_.idleClients[g] = clients->counts();
+    for (const auto& [g, clients] : idleClients_) observed_.idleClients[g] = clients->counts();
+    record_.idleClients = observed_.idleClients;
+    const Expectations expectations(s_, judge_, observed_);
     for (const Expect& e : s_.expects)
-      if (e.fate == "figure") record_.figures.push_back({e.line, e.figure, figure(e)});
-    record_.unmet = unmet();
+      if (e.fate == "figure") record_.figures.push_back({e.line, e.figure, expectations.figure(e)});
+    record_.unmet = expectations.unmet();
     writeReport(o_.out, s_, judge_, record_);
     return printReport(o_.out);
   }
@@ -552,24 +478,16 @@
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Proxy>> storeLinks_;
   std::vector<std::unique_ptr<Proxy>> peerLinks_;  // [from * gatekeepers + to]
-  std::map<std::string, long> copies_;  // of the shared state at the end -> gatekeepers that hold it
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
-  Figures figures_;
+  Observations observed_;
   Front front_;
   OpenLoad load_;
   std::set<int> ended_;
   RunRecord record_;
-  struct Noted {
-    std::string what;  // one of kNoted, of expectations
-    int gatekeeper;
-    double atMs;
-  };
-  std::vector<Noted> noted_;
   std::vector<Claim> claims_;
   std::uint64_t rosterVersion_ = 0;
   int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
-  std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
   bool finishing_ = false;
 };
 
