Lab: move the fault proxies on the links out of the runner

Need: four lists of proxies, and which of them a step means, stood among the runner's other state. Change: links.{hpp,cpp} owns the proxies and puts those that a step means into its mode; the runner only tells the agents whether they are heard. fleet.cpp now starts, signals and reaps processes and carries steps out.

--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -16,6 +16,7 @@
 #include "front.hpp"
 #include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
+#include "links.hpp"
 #include "net.hpp"
 #include "open_load.hpp"
 #include "process.hpp"
@@ -35,10 +36,6 @@
 constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
 constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
 
-const std::map<std::string, LinkMode> kModes{
-    {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
-    {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
-
 // Each idle client takes a descriptor of the lab's own. Throws where its limit does not hold them.
 void checkDescriptors(const Scenario& s) {
   const int crowded = s.idle.gatekeeper ? 1 : s.gatekeepers;
@@ -57,6 +54,7 @@
         o_(o),
         judge_(s.attemptsCap),
         ports_(io_),
+        links_(io_, s),
         clock_(io_),
         observed_{{}, {}, {}, {}, Figures(expectedFigures(s))},
         front_(io_, gatekeepers_, clock_),
@@ -69,23 +67,16 @@
     if (s_.store) startStore();
     for (int w = 0; w < s_.workers; ++w)
       workers_.push_back(std::make_unique<Worker>(
-          io_, w, s_, judge_, links_, [this] { return clock_.nowMs(); }, o_.seed * 1000 + w));
-    if (s_.replica)
-      for (int from = 0; from < s_.gatekeepers; ++from)
-        for (int to = 0; to < s_.gatekeepers; ++to)
-          peerLinks_.push_back(from == to ? nullptr
-                                          : std::make_unique<Proxy>(io_, from, ports_.peers(to), links_));
+          io_, w, s_, judge_, links_.origins(), [this] { return clock_.nowMs(); }, o_.seed * 1000 + w));
+    if (s_.replica) addPeerLinks();
     for (int g = 0; g < s_.gatekeepers; ++g) {
       std::vector<Agent::Entry> list;
       for (int w = 0; w < s_.workers; ++w) {
-        proxies_.push_back(std::make_unique<Proxy>(io_, g, workers_[w]->port(), links_));
-        list.push_back({std::string("w").append(std::to_string(w)),
-                        "127.0.0.1:" + std::to_string(proxies_.back()->port()), s_.zones[s_.zoneOf(w)],
-                        "Ready", 0});
+        const unsigned short port = links_.addToWorker(g, workers_[w]->port());
+        list.push_back({std::string("w").append(std::to_string(w)), "127.0.0.1:" + std::to_string(port),
+                        s_.zones[s_.zoneOf(w)], "Ready", 0});
       }
       agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return clock_.nowMs(); }));
-      agentLinks_.push_back(std::make_unique<Proxy>(io_, g, agents_.back()->port(), links_));
-      if (store_) storeLinks_.push_back(std::make_unique<Proxy>(io_, g, store_->port(), links_));
       gatekeepers_.push_back(configured(g));
     }
     for (Gatekeeper& gk : gatekeepers_) launch(gk);
@@ -195,15 +186,23 @@
     if (what == "store_ok") store_->set(Store::Mode::well);
   }
 
-  GatekeeperPorts portsOf(int g) const {
+  void addPeerLinks() {
+    std::vector<unsigned short> ports;
+    ports.reserve(s_.gatekeepers);
+    for (int g = 0; g < s_.gatekeepers; ++g) ports.push_back(ports_.peers(g));
+    links_.addBetweenPeers(ports);
+  }
+
+  // The ports of a gatekeeper whose agent runs; adds its links to that and to the store.
+  GatekeeperPorts addPorts(int g) {
     GatekeeperPorts out;
     out.listen = ports_.listen(g);
-    out.discovery = agentLinks_[g]->port();
-    if (store_) out.store = storeLinks_[g]->port();
+    out.discovery = links_.addToAgent(g, agents_[g]->port());
+    if (store_) out.store = links_.addToStore(g, store_->port());
     if (!s_.replica) return out;
     out.listenPeers = ports_.peers(g);
     for (int other = 0; other < s_.gatekeepers; ++other)
-      if (other != g) out.peers[other] = peerLinks_[g * s_.gatekeepers + other]->port();
+      if (other != g) out.peers[other] = links_.toPeer(g, other);
     return out;
   }
 
@@ -222,7 +221,7 @@
     }
     // As before the first step, at each start.
     const json known = json::parse(agents_[g]->listJson(true, {}));
-    std::ofstream(gk.config) << gatekeeperConfig(s_, g, portsOf(g), known, o_.seed).dump(1);
+    std::ofstream(gk.config) << gatekeeperConfig(s_, g, addPorts(g), known, o_.seed).dump(1);
     return gk;
   }
 
@@ -325,28 +324,9 @@
     record_.steps.push_back({step.atS, step.what, step.line});
     record_.marks.push_back({step.atS, labelOf(step)});
     if (step.what.rfind("store_", 0) == 0) return storeFault(step.what);
-    const auto mode = kModes.find(step.what);
-    if (mode != kModes.end() && step.link == "peers") {
-      for (int from = 0; from < s_.gatekeepers; ++from)
-        for (int to = 0; to < s_.gatekeepers; ++to) {
-          const bool its = step.gatekeeper && (*step.gatekeeper == from || *step.gatekeeper == to);
-          const bool across = step.below > 0 && (from < step.below) != (to < step.below);
-          if (from != to && (its || across))
-            peerLinks_[from * s_.gatekeepers + to]->set(mode->second, step.delayMs, step.bytesPerS);
-        }
-      return;
-    }
-    if (mode != kModes.end() && !step.link.empty()) {
-      for (int g = 0; g < s_.gatekeepers; ++g) {
-        if (step.gatekeeper && *step.gatekeeper != g) continue;
-        if (step.link == "store") {
-          storeLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
-          continue;
-        }
-        agentLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
-        agents_[g]->setHeard(mode->second == LinkMode::pass || mode->second == LinkMode::delay ||
-                             mode->second == LinkMode::throttle);
-      }
+    if (const auto mode = linkModeOf(step.what)) {
+      links_.set(step, *mode);
+      if (step.link == "discovery") setHeard(step, *mode);
       return;
     }
     if (step.what == "exclude" || step.what == "include") {
@@ -396,13 +376,16 @@
                 .count();
         for (auto& agent : agents_) agent->change(w, "Ready", wall);
       }
-      if (mode != kModes.end())
-        for (int g = 0; g < s_.gatekeepers; ++g)
-          if (!step.gatekeeper || *step.gatekeeper == g)
-            proxies_[g * s_.workers + w]->set(mode->second, step.delayMs, step.bytesPerS);
     }
   }
 
+  // Whether gatekeepers can reach their agents over links in this mode.
+  void setHeard(const Step& step, LinkMode mode) {
+    const bool heard = mode == LinkMode::pass || mode == LinkMode::delay || mode == LinkMode::throttle;
+    for (int g = 0; g < s_.gatekeepers; ++g)
+      if (!step.gatekeeper || *step.gatekeeper == g) agents_[g]->setHeard(heard);
+  }
+
   static std::string labelOf(const Step& step) {
     std::string out = step.what;
     if (step.gatekeeper) out += " g" + std::to_string(*step.gatekeeper);
@@ -469,15 +452,11 @@
   asio::io_context io_;
   Judge judge_;
   Ports ports_;
-  LinkOf links_;
+  Links links_;
   RunClock clock_;
   std::vector<std::unique_ptr<Worker>> workers_;
-  std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Agent>> agents_;
-  std::vector<std::unique_ptr<Proxy>> agentLinks_;  // gatekeeper to its agent
   std::unique_ptr<Store> store_;
-  std::vector<std::unique_ptr<Proxy>> storeLinks_;
-  std::vector<std::unique_ptr<Proxy>> peerLinks_;  // [from * gatekeepers + to]
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
   Observations observed_;
