--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -6,93 +6,36 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "figures.hpp"
+#include "expectations.hpp"
+#include "front.hpp"
+#include "gatekeeper_config.hpp"
 #include "idle_clients.hpp"
+#include "links.hpp"
 #include "net.hpp"
-#include "plot.hpp"
+#include "open_load.hpp"
 #include "process.hpp"
+#include "run_clock.hpp"
+#include "run_report.hpp"
 #include "store.hpp"
 
 namespace wingslip::lab {
-namespace beast = boost::beast;
-namespace http = beast::http;
 namespace fs = std::filesystem;
 using Error = boost::system::error_code;
 using nlohmann::json;
 
 namespace {
 
-constexpr auto kHealthEvery = std::chrono::milliseconds(250);
-constexpr int kMissesOut = 3;  // the front takes a gatekeeper out after this many silent health checks
-constexpr int kRoutedPeers =
-    30;                       // in larger fleets gatekeepers find most others by themselves, past the proxies
 constexpr double kTailS = 2;  // after the load, for the last answers
 constexpr double kFiguresEveryS = 0.5;
 constexpr int kOtherDescriptors = 500;           // of the lab, beside those of idle clients
 constexpr std::uint64_t kIdleSeedStep = 104729;  // between the seeds of two runs' idle clients
 
-json settingsFor(const Scenario& s, int me) {
-  return json{{"me", me},
-              {"nInstances", s.settingsFor},
-              {"locality", 0},
-              {"localities", s.zones},
-              {"shapes", {"m"}},
-              {"discovery", "pushed"},
-              {"permissions",
-               {{"attemptsCap", s.attemptsCap},
-                {"dialTimeout", 1000.0},
-                {"connIdle", 30000.0},
-                {"maxRetryAfter", 1000.0}}},
-              {"familyInfo", {{"metering", 1000.0}, {"truedUp", false}, {"mostUnits", 2}}},
-              {"report", {{"how", "answers"}, {"fields", {"util", "queue"}}}},
-              {"rules",
-               {{"stopSendingWithin", 1000.0},
-                {"coldFrom", 0.2},
-                {"warmUp", 1000.0},
-                {"fallMultiple", 2.5},
-                {"overloadFor", 1000.0}}},
-              {"profiles",
-               {{{"name", "look"},
-                 {"aim", s.deadlineMs},
-                 {"deadline", s.deadlineMs},
-                 {"repeat", "safe"},
-                 {"window", 0.0},
-                 {"worth", 1.0}},
-                {{"name", "edit"},
-                 {"aim", s.deadlineMs},
-                 {"deadline", s.deadlineMs},
-                 {"repeat", "keyed"},
-                 {"dedupScope", "zone"},
-                 {"window", 60000.0},
-                 {"worth", 2.0}}}},
-              {"plans",
-               {{{"name", "large"},
-                 {"unitsPerS", 100000.0},
-                 {"depth", 100000.0},
-                 {"pays", 1.0},
-                 {"overrunCost", 1.0}}}}};
-}
-
-const std::map<std::string, LinkMode> kModes{
-    {"cut", LinkMode::cut},     {"blackhole", LinkMode::blackhole}, {"oneway", LinkMode::oneway},
-    {"delay", LinkMode::delay}, {"throttle", LinkMode::throttle},   {"heal", LinkMode::pass}};
-
-std::vector<std::string> figuresOf(const Scenario& s) {
-  std::vector<std::string> out;
-  for (const Expect& e : s.expects)
-    if (e.fate == "figure" && std::find(out.begin(), out.end(), e.figure) == out.end())
-      out.push_back(e.figure);
-  return out;
-}
-
 // Each idle client takes a descriptor of the lab's own. Throws where its limit does not hold them.
 void checkDescriptors(const Scenario& s) {
   const int crowded = s.idle.gatekeeper ? 1 : s.gatekeepers;
@@ -107,32 +50,33 @@
 class Fleet {
  public:
   Fleet(const Scenario& s, const RunOptions& o)
-      : s_(s), o_(o), judge_(s.attemptsCap), random_(o.seed), ports_(io_), figures_(figuresOf(s)) {}
+      : s_(s),
+        o_(o),
+        judge_(s.attemptsCap),
+        ports_(io_),
+        links_(io_, s),
+        clock_(io_),
+        observed_{{}, {}, {}, {}, Figures(expectedFigures(s))},
+        front_(io_, gatekeepers_, clock_),
+        load_(io_, s, gatekeepers_, clock_, judge_, o.seed) {}
 
   int run() {
     fs::create_directories(o_.out);
     endLeftBehind(fs::path(o_.out) / "pids");
-    start_ = Clock::now();
+    clock_.restart();
     if (s_.store) startStore();
     for (int w = 0; w < s_.workers; ++w)
       workers_.push_back(std::make_unique<Worker>(
-          io_, w, s_, judge_, links_, [this] { return nowMs(); }, o_.seed * 1000 + w));
-    if (s_.replica)
-      for (int from = 0; from < s_.gatekeepers; ++from)
-        for (int to = 0; to < s_.gatekeepers; ++to)
-          peerLinks_.push_back(from == to ? nullptr
-                                          : std::make_unique<Proxy>(io_, from, ports_.peers(to), links_));
+          io_, w, s_, judge_, links_.origins(), [this] { return clock_.nowMs(); }, o_.seed * 1000 + w));
+    if (s_.replica) addPeerLinks();
     for (int g = 0; g < s_.gatekeepers; ++g) {
       std::vector<Agent::Entry> list;
       for (int w = 0; w < s_.workers; ++w) {
-        proxies_.push_back(std::make_unique<Proxy>(io_, g, workers_[w]->port(), links_));
-        list.push_back({std::string("w").append(std::to_string(w)),
-                        "127.0.0.1:" + std::to_string(proxies_.back()->port()), s_.zones[s_.zoneOf(w)],
-                        "Ready", 0});
+        const unsigned short port = links_.addToWorker(g, workers_[w]->port());
+        list.push_back({std::string("w").append(std::to_string(w)), "127.0.0.1:" + std::to_string(port),
+                        s_.zones[s_.zoneOf(w)], "Ready", 0});
       }
-      agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return nowMs(); }));
-      agentLinks_.push_back(std::make_unique<Proxy>(io_, g, agents_.back()->port(), links_));
-      if (store_) storeLinks_.push_back(std::make_unique<Proxy>(io_, g, store_->port(), links_));
+      agents_.push_back(std::make_unique<Agent>(io_, g, list, judge_, [this] { return clock_.nowMs(); }));
       gatekeepers_.push_back(configured(g));
     }
     for (Gatekeeper& gk : gatekeepers_) launch(gk);
@@ -140,15 +84,15 @@
     health();
     // The load begins once every gatekeeper is in the front, or after 15 s with those that are.
     waitForFront();
-    start_ = Clock::now();
-    for (const Step& step : s_.steps) at(step.atS, [this, step] { apply(step); });
-    arrive();
+    clock_.restart();
+    for (const Step& step : s_.steps) clock_.at(step.atS, [this, step] { apply(step); });
+    load_.arrive();
     playIdleClients();
     askFigures();
     progress();
-    if (store_) at(s_.lengthS + 0.5, [this] { askRosters(); });
-    if (s_.replica) at(s_.lengthS + 0.5, [this] { askCopies(); });
-    at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
+    if (store_) clock_.at(s_.lengthS + 0.5, [this] { askRosters(); });
+    if (s_.replica) clock_.at(s_.lengthS + 0.5, [this] { askCopies(); });
+    clock_.at(s_.lengthS + s_.deadlineMs / 1000 + kTailS, [this] { finish(); });
     io_.run();
     return verdict();
   }
@@ -163,24 +107,24 @@
       const json record = json::parse(value, nullptr, false);
       if (key != "lab/duties/roster/record" || !record.is_object()) return;
       const std::string holder = record.value("holder", "");
-      if (judge_.recorded(record.value("token", std::uint64_t{0}), holder, nowMs())) {
+      if (judge_.recorded(record.value("token", std::uint64_t{0}), holder, clock_.nowMs())) {
         // members/gN/INSTANCE names the gatekeeper behind the instance.
         int gatekeeper = -1;
         for (const std::string& member : members)
           if (member.ends_with("/" + holder))
             gatekeeper = std::atoi(member.c_str() + std::string("lab/members/g").size());
         spdlog::info("event=claim token={} gatekeeper={} at_ms={:.0f}", record["token"].dump(), gatekeeper,
-                     nowMs());
+                     clock_.nowMs());
         holder_ = std::max(0, gatekeeper);
-        noted_.push_back({"claims", gatekeeper, nowMs()});
-        claims_.push_back({{"at_ms", nowMs()}, {"gatekeeper", gatekeeper}, {"token", record["token"]}});
-        marks_.push_back({nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
+        observed_.noted.push_back({"claims", gatekeeper, clock_.nowMs()});
+        claims_.push_back({clock_.nowMs(), gatekeeper, record["token"].get<std::uint64_t>()});
+        record_.marks.push_back({clock_.nowMs() / 1000, "g" + std::to_string(gatekeeper) + " holds"});
       }
       const json roster = json::parse(record.value("data", ""), nullptr, false);
       if (!roster.is_object()) return;
       std::map<std::string, long> counts;
       for (const auto& [name, row] : roster["rows"].items()) ++counts[row[0].get<std::string>()];
-      rosters_.emplace_back(nowMs(), counts);
+      observed_.rosters.push_back({clock_.nowMs(), counts});
       rosterVersion_ = roster.value("version", std::uint64_t{0});
     };
   }
@@ -191,7 +135,8 @@
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "roster", [this, g = gk.index](const std::string& answer) {
           const std::string version = " version=" + std::to_string(rosterVersion_) + " ";
-          if (answer.rfind("200" + version, 0) == 0) noted_.push_back({"roster_agreed", g, nowMs()});
+          if (answer.rfind("200" + version, 0) == 0)
+            observed_.noted.push_back({"roster_agreed", g, clock_.nowMs()});
         });
   }
 
@@ -200,30 +145,19 @@
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.now.pid > 0)
         askOps(io_, gk.now.ops, "replica", [this](const std::string& answer) {
-          if (answer.rfind("200 copy=", 0) == 0) ++copies_[answer.substr(9, 16)];
+          if (answer.rfind("200 copy=", 0) == 0) ++observed_.copies[answer.substr(9, 16)];
         });
   }
 
   // What gatekeepers tell operators of the figures expected: asked of all of them in every period.
   void askFigures() {
-    if (finishing_ || !figures_.wanted()) return;
+    if (finishing_ || !observed_.figures.wanted()) return;
     for (const Gatekeeper& gk : gatekeepers_)
       if (gk.now.pid > 0)
-        askOps(io_, gk.now.ops, "telemetry",
-               [this, g = gk.index](const std::string& answer) { figures_.told(g, nowMs(), answer); });
-    at(nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
-  }
-
-  // The largest value of a figure; none where a gatekeeper that it is expected of did not tell it.
-  std::optional<long> figure(const Expect& e) const {
-    std::optional<long> most;
-    for (int g = 0; g < s_.gatekeepers; ++g) {
-      if (e.gatekeeper && *e.gatekeeper != g) continue;
-      const std::optional<long> told = figures_.most(e.figure, g, e.afterS * 1000, e.beforeS * 1000);
-      if (!told) return std::nullopt;
-      most = std::max(most.value_or(*told), *told);
-    }
-    return most;
+        askOps(io_, gk.now.ops, "telemetry", [this, g = gk.index](const std::string& answer) {
+          observed_.figures.told(g, clock_.nowMs(), answer);
+        });
+    clock_.at(clock_.nowMs() / 1000 + kFiguresEveryS, [this] { askFigures(); });
   }
 
   void addIdleClients() {
@@ -235,22 +169,9 @@
 
   void playIdleClients() {
     for (const auto& [gatekeeper, clients] : idleClients_) {
-      at(s_.idle.fromS, [&clients = *clients] { clients.start(); });
-      at(s_.idle.untilS, [&clients = *clients] { clients.stop(); });
-    }
-  }
-
-  // What has happened to the idle clients of one gatekeeper, or of all.
-  IdleClientCounts idleCounts(std::optional<int> gatekeeper) const {
-    IdleClientCounts out;
-    for (const auto& [g, clients] : idleClients_) {
-      if (gatekeeper && *gatekeeper != g) continue;
-      const IdleClientCounts& counts = clients->counts();
-      out.opened += counts.opened;
-      out.closed += counts.closed;
-      out.refused += counts.refused;
+      clock_.at(s_.idle.fromS, [&clients = *clients] { clients.start(); });
+      clock_.at(s_.idle.untilS, [&clients = *clients] { clients.stop(); });
     }
-    return out;
   }
 
   void storeFault(const std::string& what) {
@@ -265,6 +186,26 @@
     if (what == "store_ok") store_->set(Store::Mode::well);
   }
 
+  void addPeerLinks() {
+    std::vector<unsigned short> ports;
+    ports.reserve(s_.gatekeepers);
+    for (int g = 0; g < s_.gatekeepers; ++g) ports.push_back(ports_.peers(g));
+    links_.addBetweenPeers(ports);
+  }
+
+  // The ports of a gatekeeper whose agent runs; adds its links to that and to the store.
+  GatekeeperPorts addPorts(int g) {
+    GatekeeperPorts out;
+    out.listen = ports_.listen(g);
+    out.discovery = links_.addToAgent(g, agents_[g]->port());
+    if (store_) out.store = links_.addToStore(g, store_->port());
+    if (!s_.replica) return out;
+    out.listenPeers = ports_.peers(g);
+    for (int other = 0; other < s_.gatekeepers; ++other)
+      if (other != g) out.peers[other] = links_.toPeer(g, other);
+    return out;
+  }
+
   // The gatekeeper's files, and its listening socket where the lab holds it.
   Gatekeeper configured(int g) {
     Gatekeeper gk;
@@ -278,51 +219,12 @@
       fs::remove_all(gk.state);
       fs::create_directories(gk.state);
     }
-    char seed[17];
-    std::snprintf(seed, sizeof seed, "%016llx", static_cast<unsigned long long>(o_.seed * 7919 + g));
-    json file{
-        {"name", name},
-        {"listen", "127.0.0.1:" + std::to_string(gk.port)},
-        {"discovery", "127.0.0.1:" + std::to_string(agentLinks_[g]->port())},
-        {"seed", seed},
-        {"limits", {{"sockets", 256}, {"memory_mb", 64}}},
-        {"known", json::parse(agents_[g]->listJson(true, {}))},  // as before the first step, at each start
-        {"settings", settingsFor(s_, g)}};
-    if (s_.replica) {
-      json peers = json::object();
-      for (int i = 1; i < s_.gatekeepers; ++i) {
-        const int other = (g + i) % s_.gatekeepers;
-        if (i <= 2 || s_.gatekeepers <= kRoutedPeers)
-          peers["g" + std::to_string(other)] =
-              "127.0.0.1:" + std::to_string(peerLinks_[g * s_.gatekeepers + other]->port());
-      }
-      file["replica"] = {{"listen", "127.0.0.1:" + std::to_string(ports_.peers(g))},
-                         {"fleet", "lab"},
-                         {"peers", peers},
-                         {"probe_every_ms", s_.probeEveryMs},
-                         {"gossip_every_ms", s_.gossipEveryMs},
-                         {"repair_every_ms", s_.repairEveryMs}};
-    }
-    if (store_)
-      file["coordination"] = {{"store", "127.0.0.1:" + std::to_string(storeLinks_[g]->port())},
-                              {"prefix", "lab"},
-                              {"ttl_ms", s_.storeTtlMs},
-                              {"lock_delay_ms", s_.storeLockDelayMs}};
-    if (!s_.configPatch.empty()) file.merge_patch(json::parse(s_.configPatch));
-    std::ofstream(gk.config) << file.dump(1);
+    // As before the first step, at each start.
+    const json known = json::parse(agents_[g]->listJson(true, {}));
+    std::ofstream(gk.config) << gatekeeperConfig(s_, g, addPorts(g), known, o_.seed).dump(1);
     return gk;
   }
 
-  double nowMs() const { return std::chrono::duration<double, std::milli>(Clock::now() - start_).count(); }
-
-  void at(double seconds, std::function<void()> what) {
-    auto timer = std::make_shared<asio::steady_timer>(
-        io_, start_ + std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-    timer->async_wait([timer, what = std::move(what)](const Error& error) {
-      if (!error) what();
-    });
-  }
-
   void launch(Gatekeeper& gk) {
     gk.now = start(gk, ports_, o_.burlwind);
     gk.stopped = false, gk.inFront = false, gk.misses = 0;
@@ -343,24 +245,17 @@
       Gatekeeper& gk = gatekeepers_[g];
       if (finishing_ || gk.now.pid != pid) return;
       if (answer.rfind("200", 0) == 0) {
-        spdlog::info("event=upgraded gatekeeper={} at_ms={:.0f}", g, nowMs());
+        spdlog::info("event=upgraded gatekeeper={} at_ms={:.0f}", g, clock_.nowMs());
         if (gk.old.pid > 0) ::kill(gk.old.pid, SIGTERM);
         return;
       }
-      at(nowMs() / 1000 + 0.05, [this, g, pid] { awaitReady(g, pid); });
+      clock_.at(clock_.nowMs() / 1000 + 0.05, [this, g, pid] { awaitReady(g, pid); });
     });
   }
 
-  // The configuration file with the step's patch, written aside and renamed; then SIGHUP.
+  // Reads its configuration file again, with the step's patch.
   void hup(Gatekeeper& gk, const std::string& patch) {
-    if (!patch.empty()) {
-      std::ifstream in(gk.config);
-      json file = json::parse(in);
-      file.merge_patch(json::parse(patch));
-      const fs::path aside = gk.config.string() + ".new";
-      std::ofstream(aside) << file.dump(1);
-      fs::rename(aside, gk.config);
-    }
+    if (!patch.empty()) patchConfig(gk.config, patch);
     signal(gk, SIGHUP);
   }
 
@@ -375,82 +270,47 @@
       if (gk.old.pid > 0 && ::waitpid(gk.old.pid, &status, WNOHANG) == gk.old.pid) {
         gk.old = {};
         if (status == 0)
-          noted_.push_back({"upgrades", gk.index, nowMs()});
+          observed_.noted.push_back({"upgrades", gk.index, clock_.nowMs()});
         else
-          crashes_.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
-                             ": the old process ended with " + std::to_string(status));
+          record_.crashes.push_back("upgrade of gatekeeper " + std::to_string(gk.index) +
+                                    ": the old process ended with " + std::to_string(status));
       }
       if (gk.now.pid <= 0 || ::waitpid(gk.now.pid, &status, WNOHANG) != gk.now.pid) continue;
       gk.now = {};
       const bool byLab = ended_.contains(gk.index);
       if (!byLab && !finishing_) {
-        crashes_.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
-                           std::to_string(status));
-        judge_.down(gk.index, nowMs());
+        record_.crashes.push_back("gatekeeper " + std::to_string(gk.index) + " ended by itself, status " +
+                                  std::to_string(status));
+        judge_.down(gk.index, clock_.nowMs());
       }
     }
   }
 
   // One line every 10 s of a long run.
   void progress() {
-    at(nowMs() / 1000 + 10, [this] {
+    clock_.at(clock_.nowMs() / 1000 + 10, [this] {
       if (finishing_) return;
-      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}", nowMs() / 1000,
-                   s_.lengthS, judge_.requests().size(), inFlight_, notSent_);
+      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}",
+                   clock_.nowMs() / 1000, s_.lengthS, judge_.requests().size(), load_.inFlight(),
+                   load_.notSent());
       progress();
     });
   }
 
-  // The front: a health check of each gatekeeper every 250 ms; in at the first 200, out after three misses.
+  // Looks at each gatekeeper in every period: its process, and its health for the front.
   void health() {
     reap();
-    for (Gatekeeper& gk : gatekeepers_) {
-      auto socket = std::make_shared<tcp::socket>(io_);
-      auto timer = std::make_shared<asio::steady_timer>(io_, kHealthEvery);
-      auto buffer = std::make_shared<beast::flat_buffer>();
-      auto reply = std::make_shared<http::response<http::string_body>>();
-      auto request = std::make_shared<http::request<http::empty_body>>(http::verb::get, "/health/ready", 11);
-      timer->async_wait([socket](const Error& e) {
-        if (!e) socket->close();
-      });
-      const int g = gk.index;
-      socket->async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), gk.port), [=,
-                                                                                       this](const Error& e) {
-        if (e) return miss(g, timer);
-        http::async_write(*socket, *request, [=, this, keepRequest = request](const Error& we, std::size_t) {
-          if (we) return miss(g, timer);
-          http::async_read(*socket, *buffer, *reply, [=, this, keep = buffer](const Error& re, std::size_t) {
-            timer->cancel();
-            if (re || reply->result() != http::status::ok) return miss(g, timer);
-            Gatekeeper& k = gatekeepers_[g];
-            k.misses = 0;
-            if (!k.inFront) spdlog::info("event=in_front gatekeeper={} at_ms={:.0f}", g, nowMs());
-            k.inFront = true;
-          });
-        });
-      });
-    }
+    front_.check();
     if (finishing_) return;
     auto next = std::make_shared<asio::steady_timer>(io_, kHealthEvery);
     next->async_wait([this, next](const Error&) { health(); });
   }
 
-  void miss(int g, const std::shared_ptr<asio::steady_timer>& timer) {
-    timer->cancel();
-    Gatekeeper& gk = gatekeepers_[g];
-    if (++gk.misses >= kMissesOut && gk.inFront) {
-      gk.inFront = false;
-      spdlog::info("event=out_of_front gatekeeper={} at_ms={:.0f}", g, nowMs());
-    }
-  }
-
   void waitForFront() {
     const auto limit = Clock::now() + std::chrono::seconds(15);
     while (Clock::now() < limit) {
       io_.run_for(std::chrono::milliseconds(100));
-      if (std::all_of(gatekeepers_.begin(), gatekeepers_.end(),
-                      [](const Gatekeeper& gk) { return gk.inFront; }))
-        return;
+      if (front_.allIn()) return;
     }
     spdlog::warn("event=not_all_ready after_s=15");
   }
@@ -461,58 +321,40 @@
     if (!step.role.empty()) step.gatekeeper = former_;
     spdlog::info("event=step at_s={} do={} gatekeeper={} worker={} zone={}", step.atS, step.what,
                  step.gatekeeper.value_or(-1), step.worker.value_or(-1), step.zone.value_or("-"));
-    faults_.push_back({{"at_s", step.atS}, {"do", step.what}, {"line", step.line}});
-    marks_.push_back({step.atS, labelOf(step)});
+    record_.steps.push_back({step.atS, step.what, step.line});
+    record_.marks.push_back({step.atS, labelOf(step)});
     if (step.what.rfind("store_", 0) == 0) return storeFault(step.what);
-    const auto mode = kModes.find(step.what);
-    if (mode != kModes.end() && step.link == "peers") {
-      for (int from = 0; from < s_.gatekeepers; ++from)
-        for (int to = 0; to < s_.gatekeepers; ++to) {
-          const bool its = step.gatekeeper && (*step.gatekeeper == from || *step.gatekeeper == to);
-          const bool across = step.below > 0 && (from < step.below) != (to < step.below);
-          if (from != to && (its || across))
-            peerLinks_[from * s_.gatekeepers + to]->set(mode->second, step.delayMs, step.bytesPerS);
-        }
-      return;
-    }
-    if (mode != kModes.end() && !step.link.empty()) {
-      for (int g = 0; g < s_.gatekeepers; ++g) {
-        if (step.gatekeeper && *step.gatekeeper != g) continue;
-        if (step.link == "store") {
-          storeLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
-          continue;
-        }
-        agentLinks_[g]->set(mode->second, step.delayMs, step.bytesPerS);
-        agents_[g]->setHeard(mode->second == LinkMode::pass || mode->second == LinkMode::delay ||
-                             mode->second == LinkMode::throttle);
-      }
+    if (const auto mode = linkModeOf(step.what)) {
+      links_.set(step, *mode);
+      if (step.link == "discovery") setHeard(step, *mode);
       return;
     }
     if (step.what == "exclude" || step.what == "include") {
       askOps(io_, gatekeepers_[*step.gatekeeper].now.ops, step.what + " w" + std::to_string(*step.worker),
              [this, step](const std::string& answer) {
                if (answer.rfind("200", 0) != 0)
-                 crashes_.push_back("line " + std::to_string(step.line) + ": " + step.what +
-                                    " was answered " + (answer.empty() ? "nothing" : answer.substr(0, 60)));
+                 record_.crashes.push_back("line " + std::to_string(step.line) + ": " + step.what +
+                                           " was answered " +
+                                           (answer.empty() ? "nothing" : answer.substr(0, 60)));
              });
       return;
     }
     if (step.gatekeeper && !step.worker && !step.zone) {
       Gatekeeper& gk = gatekeepers_[*step.gatekeeper];
       const int g = gk.index;
-      if (step.what == "kill") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGKILL);
-      if (step.what == "term") ended_.insert(g), judge_.down(g, nowMs()), signal(gk, SIGTERM);
-      if (step.what == "stop") judge_.down(g, nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
-      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, nowMs()), gk.stopped = false;
+      if (step.what == "kill") ended_.insert(g), judge_.down(g, clock_.nowMs()), signal(gk, SIGKILL);
+      if (step.what == "term") ended_.insert(g), judge_.down(g, clock_.nowMs()), signal(gk, SIGTERM);
+      if (step.what == "stop") judge_.down(g, clock_.nowMs()), signal(gk, SIGSTOP), gk.stopped = true;
+      if (step.what == "cont") signal(gk, SIGCONT), judge_.up(g, clock_.nowMs()), gk.stopped = false;
       if (step.what == "hup") hup(gk, step.patch);
       if (step.what == "upgrade") upgrade(gk);
       if (step.what == "invalidate") store_->invalidate("g" + std::to_string(g));
       if (step.what == "restart") {
         if (gk.now.pid > 0) signal(gk, SIGKILL), ::waitpid(gk.now.pid, nullptr, 0), gk.now = {};
         ended_.erase(g);
-        judge_.down(g, nowMs());
+        judge_.down(g, clock_.nowMs());
         launch(gk);
-        judge_.up(g, nowMs());
+        judge_.up(g, clock_.nowMs());
       }
       if (step.what == "agent_down" || step.what == "agent_up")
         agents_[g]->setDown(step.what == "agent_down");
@@ -534,13 +376,16 @@
                 .count();
         for (auto& agent : agents_) agent->change(w, "Ready", wall);
       }
-      if (mode != kModes.end())
-        for (int g = 0; g < s_.gatekeepers; ++g)
-          if (!step.gatekeeper || *step.gatekeeper == g)
-            proxies_[g * s_.workers + w]->set(mode->second, step.delayMs, step.bytesPerS);
     }
   }
 
+  // Whether gatekeepers can reach their agents over links in this mode.
+  void setHeard(const Step& step, LinkMode mode) {
+    const bool heard = mode == LinkMode::pass || mode == LinkMode::delay || mode == LinkMode::throttle;
+    for (int g = 0; g < s_.gatekeepers; ++g)
+      if (!step.gatekeeper || *step.gatekeeper == g) agents_[g]->setHeard(heard);
+  }
+
   static std::string labelOf(const Step& step) {
     std::string out = step.what;
     if (step.gatekeeper) out += " g" + std::to_string(*step.gatekeeper);
@@ -549,77 +394,6 @@
     return out;
   }
 
-  // Open-loop Poisson arrivals over the fleet until the end of the load.
-  void arrive() {
-    std::exponential_distribution<double> gap(s_.rate);
-    nextS_ += s_.rate > 0 ? gap(random_) : 1e9;
-    if (nextS_ >= s_.lengthS) return;
-    at(nextS_, [this] {
-      send();
-      arrive();
-    });
-  }
-
-  void send() {
-    std::vector<int> front;
-    for (const Gatekeeper& gk : gatekeepers_)
-      if (gk.inFront) front.push_back(gk.index);
-    if (front.empty() || inFlight_ >= s_.mostInFlight) return void(++notSent_);
-    const int g = front[std::uniform_int_distribution<std::size_t>(0, front.size() - 1)(random_)];
-    const int customer = std::uniform_int_distribution<int>(1, s_.customers)(random_);
-    const bool edit = std::uniform_real_distribution<double>()(random_) < s_.editShare;
-    const std::uint64_t id = random_() >> 1 | 1;
-    char text[17], client[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
-    std::snprintf(client, sizeof client, "%016x", customer);
-    auto request = std::make_shared<http::request<http::string_body>>(
-        edit ? http::verb::post : http::verb::get,
-        std::string(edit ? "/edit" : "/look") + "?client=" + client, 11);
-    request->set(http::field::host, "backend.local");
-    request->set("Req-Id", text);
-    request->set("X-Tier", "large");
-    request->set("Req-Deadline-Ms", std::to_string(static_cast<long>(s_.deadlineMs)));
-    request->set("X-Call-Terms", "units=1,spread=" + std::to_string(s_.gatekeepers) + ",first=0");
-    if (edit) {
-      request->set("Idempotency-Key", std::string(text) + std::string(text));
-      request->body() = "{\"edit\":" + std::to_string(customer) + "}";
-      request->prepare_payload();
-    }
-    judge_.sent(id, g, nowMs(), s_.deadlineMs);
-    ++inFlight_;
-    auto socket = std::make_shared<tcp::socket>(io_);
-    auto buffer = std::make_shared<beast::flat_buffer>();
-    auto reply = std::make_shared<http::response<http::string_body>>();
-    auto done = std::make_shared<bool>(false);
-    auto timer = std::make_shared<asio::steady_timer>(
-        io_, std::chrono::milliseconds(static_cast<long>(s_.deadlineMs + 600)));
-    auto end = [this, socket, timer, done, id](Fate fate, int status, const std::string& body) {
-      if (std::exchange(*done, true)) return;
-      --inFlight_;
-      timer->cancel();
-      Error ignored;
-      socket->close(ignored);
-      if (fate == Fate::open)
-        judge_.answered(id, nowMs(), status, body);
-      else
-        judge_.ended(id, nowMs(), fate);
-    };
-    timer->async_wait([end](const Error& e) {
-      if (!e) end(Fate::lost, 0, "");  // the client gives up
-    });
-    socket->async_connect(
-        tcp::endpoint(asio::ip::address_v4::loopback(), gatekeepers_[g].port), [=](const Error& e) {
-          if (e) return end(Fate::unreachable, 0, "");
-          http::async_write(*socket, *request, [=, keepRequest = request](const Error& we, std::size_t) {
-            if (we) return end(Fate::unreachable, 0, "");
-            http::async_read(*socket, *buffer, *reply, [=, keep = buffer](const Error& re, std::size_t) {
-              if (re) return end(Fate::closed, 0, "");
-              end(Fate::open, reply->result_int(), reply->body());
-            });
-          });
-        });
-  }
-
   void finish() {
     finishing_ = true;
     for (const Gatekeeper& gk : gatekeepers_) measure(gk);
@@ -627,7 +401,7 @@
       if (gk.stopped) signal(gk, SIGCONT);
       signal(gk, SIGTERM);
     }
-    judge_.close(nowMs());
+    judge_.close(clock_.nowMs());
     const auto limit = Clock::now() + std::chrono::seconds(5);
     for (Gatekeeper& gk : gatekeepers_) {
       for (Process* one : {&gk.now, &gk.old}) {
@@ -651,155 +425,48 @@
     const std::string at = "/proc/" + std::to_string(gk.now.pid);
     std::ifstream status(at + "/status");
     for (std::string line; std::getline(status, line);)
-      if (line.rfind("VmHWM:", 0) == 0) mostKb_ = std::max(mostKb_, std::stol(line.substr(6)));
+      if (line.rfind("VmHWM:", 0) == 0) record_.mostKb = std::max(record_.mostKb, std::stol(line.substr(6)));
     Error error;
     long fds = 0;
     for (std::error_code e; const auto& entry : fs::directory_iterator(at + "/fd", e))
       fds += !entry.is_directory();
-    mostFds_ = std::max(mostFds_, fds);
-  }
-
-  // None where nobody told it.
-  std::optional<long> counted(const Expect& e) const {
-    if (e.fate == "figure") return figure(e);
-    if (e.fate == "idle_opened") return idleCounts(e.gatekeeper).opened;
-    if (e.fate == "idle_closed") return idleCounts(e.gatekeeper).closed;
-    if (e.fate == "idle_refused") return idleCounts(e.gatekeeper).refused;
-    const double after = e.afterS * 1000, before = e.beforeS * 1000;
-    if (e.fate == "attempts")
-      return judge_.attempts(
-          [&](int w) { return e.worker ? w == *e.worker : s_.zones[s_.zoneOf(w)] == *e.zone; }, after,
-          before);
-    if (const auto fate = fateOf(e.fate)) return judge_.count(*fate, e.gatekeeper, after, before);
-    if (e.fate == "copies_equal") {
-      long most = 0;
-      for (const auto& [copy, n] : copies_) most = std::max(most, n);
-      return most;
-    }
-    if (e.fate.rfind("roster_", 0) == 0 && e.fate != "roster_agreed") {
-      long n = 0;
-      for (const auto& [at, counts] : rosters_) {
-        const auto found = counts.find(e.fate.substr(7));
-        if (at < before) n = found == counts.end() ? 0 : found->second;
-      }
-      return n;
-    }
-    return std::count_if(noted_.begin(), noted_.end(), [&](const Noted& n) {
-      return n.what == e.fate && (!e.gatekeeper || *e.gatekeeper == n.gatekeeper) && n.atMs >= after &&
-             n.atMs < before;
-    });
+    record_.mostDescriptors = std::max(record_.mostDescriptors, fds);
   }
 
   int verdict() {
-    std::ofstream events(fs::path(o_.out) / "events.jsonl");
-    for (const auto& [id, r] : judge_.requests())
-      events << json{{"id", id},
-                     {"gatekeeper", r.gatekeeper},
-                     {"sent_ms", r.sentMs},
-                     {"end_ms", r.endMs},
-                     {"fate", nameOf(r.fate)},
-                     {"status", r.status},
-                     {"excused", r.excused}}
-                    .dump()
-             << "\n";
-    std::vector<Request> all;
-    for (const auto& [id, r] : judge_.requests()) all.push_back(r);
-    std::ofstream(fs::path(o_.out) / "plot.svg")
-        << plotSvg({s_.name, s_.lengthS, s_.gatekeepers, marks_}, all);
-    json summary{{"scenario", s_.name},   {"seed", o_.seed},   {"gatekeepers", s_.gatekeepers},
-                 {"workers", s_.workers}, {"faults", faults_}, {"not_sent", notSent_}};
-    rusage self{};
-    ::getrusage(RUSAGE_SELF, &self);
-    summary["lab"] = {{"cpu_s", self.ru_utime.tv_sec + self.ru_stime.tv_sec +
-                                    (self.ru_utime.tv_usec + self.ru_stime.tv_usec) / 1e6},
-                      {"most_kb", self.ru_maxrss}};
-    summary["gatekeeper_most"] = {{"kb", mostKb_}, {"descriptors", mostFds_}};
-    for (Fate f : {Fate::served, Fate::refused, Fate::failed, Fate::closed, Fate::unreachable, Fate::lost,
-                   Fate::wrong})
-      summary["fates"][nameOf(f)] = judge_.count(f);
-    std::vector<double> times = judge_.servedTimes();
-    std::sort(times.begin(), times.end());
-    for (const double q : {0.5, 0.9, 0.99})
-      summary["served_ms"]["p" + std::to_string(static_cast<int>(q * 100))] =
-          times.empty() ? 0.0 : times[static_cast<std::size_t>(q * (times.size() - 1))];
-    if (store_) {
-      const auto& seconds = store_->callsBySecond();
-      summary["store"] = {
-          {"calls", store_->calls()},
-          {"most_calls_a_second", seconds.empty() ? 0 : *std::max_element(seconds.begin(), seconds.end())},
-          {"calls_by_second", seconds},
-          {"claims", claims_}};
-    }
-    for (const auto& [g, clients] : idleClients_) {
-      const IdleClientCounts& counts = clients->counts();
-      summary["idle_clients"].push_back({{"gatekeeper", g},
-                                         {"opened", counts.opened},
-                                         {"closed_by_gatekeeper", counts.closed},
-                                         {"refused", counts.refused}});
-    }
-    for (const Expect& e : s_.expects) {
-      if (e.fate != "figure") continue;
-      const std::optional<long> most = figure(e);
-      summary["figures"].push_back(
-          {{"line", e.line}, {"name", e.figure}, {"most", most ? json(*most) : json()}});
-    }
-    std::vector<std::string> broken = judge_.broken();
-    broken.insert(broken.end(), crashes_.begin(), crashes_.end());
-    summary["broken"] = broken;
-    summary["broken_count"] = judge_.brokenCount() + static_cast<long>(crashes_.size());
-    json unmet = json::array();
-    for (const Expect& e : s_.expects) {
-      const std::optional<long> n = counted(e);
-      if (!n || (e.min && *n < *e.min) || (e.max && *n > *e.max))
-        unmet.push_back("line " + std::to_string(e.line) + ": " + e.fate +
-                        (e.figure.empty() ? "" : " " + e.figure) + " " +
-                        (n ? std::to_string(*n) : "not told") + " not within " +
-                        std::to_string(e.min.value_or(0)) + ".." + (e.max ? std::to_string(*e.max) : "any"));
-    }
-    summary["unmet"] = unmet;
-    const bool passed = summary["broken_count"] == 0 && unmet.empty();
-    summary["verdict"] = passed ? "passed" : "failed";
-    std::ofstream(fs::path(o_.out) / "summary.json") << summary.dump(1) << "\n";
-    report(o_.out);
-    return passed ? 0 : 1;
+    record_.seed = o_.seed;
+    record_.notSent = load_.notSent();
+    if (store_) record_.store = StoreUse{store_->calls(), store_->callsBySecond(), claims_};
+    for (const auto& [g, clients] : idleClients_) observed_.idleClients[g] = clients->counts();
+    record_.idleClients = observed_.idleClients;
+    const Expectations expectations(s_, judge_, observed_);
+    for (const Expect& e : s_.expects)
+      if (e.fate == "figure") record_.figures.push_back({e.line, e.figure, expectations.figure(e)});
+    record_.unmet = expectations.unmet();
+    writeReport(o_.out, s_, judge_, record_);
+    return printReport(o_.out);
   }
 
   const Scenario& s_;
   const RunOptions& o_;
   asio::io_context io_;
   Judge judge_;
-  std::mt19937_64 random_;
   Ports ports_;
-  LinkOf links_;
-  Clock::time_point start_;
+  Links links_;
+  RunClock clock_;
   std::vector<std::unique_ptr<Worker>> workers_;
-  std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Agent>> agents_;
-  std::vector<std::unique_ptr<Proxy>> agentLinks_;  // gatekeeper to its agent
   std::unique_ptr<Store> store_;
-  std::vector<std::unique_ptr<Proxy>> storeLinks_;
-  std::vector<std::unique_ptr<Proxy>> peerLinks_;  // [from * gatekeepers + to]
-  std::map<std::string, long> copies_;  // of the shared state at the end -> gatekeepers that hold it
   std::vector<Gatekeeper> gatekeepers_;
   std::map<int, std::unique_ptr<IdleClients>> idleClients_;  // by gatekeeper
-  Figures figures_;
+  Observations observed_;
+  Front front_;
+  OpenLoad load_;
   std::set<int> ended_;
-  std::vector<std::string> crashes_;
-  json faults_ = json::array();
-  std::vector<PlotMark> marks_;
-  struct Noted {
-    std::string what;  // one of kNoted, of expectations
-    int gatekeeper;
-    double atMs;
-  };
-  std::vector<Noted> noted_;
-  json claims_ = json::array();
+  RunRecord record_;
+  std::vector<Claim> claims_;
   std::uint64_t rosterVersion_ = 0;
   int holder_ = 0, former_ = 0;  // of the duty: the last that claimed it, and whom the last step meant
-  std::vector<std::pair<double, std::map<std::string, long>>> rosters_;  // as recorded: at ms, names by state
-  double nextS_ = 0;
-  int inFlight_ = 0;
-  long notSent_ = 0, mostKb_ = 0, mostFds_ = 0;
   bool finishing_ = false;
 };
 
@@ -813,36 +480,4 @@
   return Fleet(scenario, options).run();
 }
 
-int report(const std::string& out) {
-  std::ifstream in(fs::path(out) / "summary.json");
-  if (!in) throw std::runtime_error("no summary.json in " + out);
-  const json s = json::parse(in);
-  std::cout << "scenario " << s["scenario"].get<std::string>() << ", seed " << s["seed"] << ", "
-            << s["gatekeepers"] << " gatekeepers, " << s["workers"] << " workers\n";
-  std::cout << "fates:";
-  for (const auto& [fate, n] : s["fates"].items()) std::cout << " " << fate << "=" << n;
-  std::cout << "\nserved ms: p50=" << s["served_ms"]["p50"] << " p90=" << s["served_ms"]["p90"]
-            << " p99=" << s["served_ms"]["p99"] << "\nlab: " << s["lab"]["cpu_s"] << " s of CPU, "
-            << s["lab"]["most_kb"] << " kB; a gatekeeper at most " << s["gatekeeper_most"]["kb"] << " kB, "
-            << s["gatekeeper_most"]["descriptors"] << " descriptors"
-            << (s.contains("store") ? "\nstore: " + s["store"]["calls"].dump() + " calls, at most " +
-                                          s["store"]["most_calls_a_second"].dump() + " a second; " +
-                                          std::to_string(s["store"]["claims"].size()) + " claims"
-                                    : "")
-            << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
-  if (s.contains("idle_clients"))
-    for (const auto& counts : s["idle_clients"])
-      std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
-                << " connections opened, " << counts["closed_by_gatekeeper"] << " closed by it, "
-                << counts["refused"] << " refused\n";
-  if (s.contains("figures"))
-    for (const auto& figure : s["figures"])
-      std::cout << "figure " << figure["name"].get<std::string>() << " (line " << figure["line"]
-                << "): " << figure["most"] << " at most\n";
-  for (const auto& line : s["broken"]) std::cout << "broken: " << line.get<std::string>() << "\n";
-  for (const auto& line : s["unmet"]) std::cout << "unmet: " << line.get<std::string>() << "\n";
-  std::cout << "verdict: " << s["verdict"].get<std::string>() << "\n";
-  return s["verdict"] == "passed" ? 0 : 1;
-}
-
 }  // namespace wingslip::lab
