Simulations: one event queue for the hollow members and the tests' fleets

Cause: tools/lab/hollow_duty and hollow_replica wrote again the queue of events and the virtual clock that tests/event_queue.hpp has. Change: the header moved to tools/lab/event_queue.hpp, and all four simulations use it. Order of events as before. Measured: 70 of 70 tests of replica, duties, scale and capacity, plain, one run; clang-tidy on the four files, no finding. Sanitized and the rest of the tests were not run again on it.

--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -318,7 +318,7 @@
   bool down_ = false;
   wingslip::lab::StoreState store_, saved_;
   std::vector<Read> reads_;
-  test::EventQueue events_;
+  wingslip::lab::EventQueue events_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::map<Token, std::string> holderOf_;
   Process* acting_ = nullptr;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -159,7 +159,7 @@
   const Time until_;
   Timing timing_;
   int below_ = 0, written_ = 0;
-  test::EventQueue events_;
+  wingslip::lab::EventQueue events_;
   std::vector<std::unique_ptr<Node>> nodes_;
 };
 
--- a/tests/event_queue.hpp
+++ b/tools/lab/event_queue.hpp
@@ -1,4 +1,4 @@
-// The events of a simulation in virtual time.
+/// The events of a simulation in virtual time, for the lab and the tests.
 #pragma once
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace burlwind::test {
+namespace wingslip::lab {
 
 // Hands out actions in the order of their times, those of the same time in the order in which they were
 // added, and keeps the virtual clock.
@@ -51,4 +51,4 @@
   std::priority_queue<Event> events_;
 };
 
-}  // namespace burlwind::test
+}  // namespace wingslip::lab
--- a/tools/lab/hollow_duty.cpp
+++ b/tools/lab/hollow_duty.cpp
@@ -43,7 +43,7 @@
     core->add(kDuty, *this);
   }
   void begin() {
-    core->start(fleet.now_);
+    core->start(fleet.events_.now());
     arm();
   }
   void arm() {
@@ -52,11 +52,11 @@
     const std::uint64_t mine = ++armed;
     fleet.at(next, [this, mine] {
       if (mine != armed || dead) return;
-      core->tick(fleet.now_);
+      core->tick(fleet.events_.now());
       arm();
     });
   }
-  bool holds() const { return !dead && core->mayAct(fleet.now_, kDuty); }
+  bool holds() const { return !dead && core->mayAct(fleet.events_.now(), kDuty); }
   void ask(const Ask& what) override { fleet.call(*this, what); }
   void drop(std::uint64_t id) override { waiting.erase(id); }
   void told(const std::string&) override {}
@@ -82,24 +82,18 @@
 
 HollowCandidates::~HollowCandidates() = default;
 
-void HollowCandidates::at(Time when, std::function<void()> what) {
-  events_.push({std::max(when, now_), ++order_, std::move(what)});
-}
+void HollowCandidates::at(Time when, std::function<void()> what) { events_.at(when, std::move(what)); }
 
 HollowCandidates::Time HollowCandidates::delay() {
   return std::uniform_real_distribution<Time>(kLeastDelay, kMostDelay)(random_);
 }
 
 void HollowCandidates::run(Time milliseconds) {
-  const Time until = now_ + milliseconds;
-  while (!events_.empty() && events_.top().at <= until) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    store_.expire(now_);
-    event.what();
+  const Time until = events_.now() + milliseconds;
+  while (const auto action = events_.next(until)) {
+    store_.expire(events_.now());
+    (*action)();
   }
-  now_ = until;
 }
 
 void HollowCandidates::call(Candidate& from, const Ask& ask) {
@@ -107,13 +101,13 @@
   traffic_.bytes += bytesOf(ask);
   from.waiting.insert(ask.id);
   // Exactly one reply: the answer, or a failure at its time.
-  at(now_ + ask.within, [this, &from, id = ask.id] { answer(from, id, {}); });
-  at(now_ + delay(), [this, &from, ask] { arrive(from, ask); });
+  at(events_.now() + ask.within, [this, &from, id = ask.id] { answer(from, id, {}); });
+  at(events_.now() + delay(), [this, &from, ask] { arrive(from, ask); });
 }
 
 void HollowCandidates::answer(Candidate& to, std::uint64_t id, const Reply& reply) const {
   if (to.dead || to.waiting.erase(id) == 0) return;
-  to.core->replied(now_, id, reply);
+  to.core->replied(events_.now(), id, reply);
   to.arm();
 }
 
@@ -122,25 +116,25 @@
   reply.ok = true;
   switch (ask.call) {
     case Call::createSession:
-      reply.session = store_.createSession(now_, ask.value, ask.ttl, ask.lockDelay);
+      reply.session = store_.createSession(events_.now(), ask.value, ask.ttl, ask.lockDelay);
       break;
     case Call::renewSession:
-      reply.yes = store_.renew(now_, ask.session);
+      reply.yes = store_.renew(events_.now(), ask.session);
       break;
     case Call::destroySession:
-      store_.destroy(now_, ask.session);
+      store_.destroy(events_.now(), ask.session);
       break;
     case Call::acquire: {
-      const std::optional<bool> done = store_.acquire(now_, ask.key, ask.session, ask.value);
+      const std::optional<bool> done = store_.acquire(events_.now(), ask.key, ask.session, ask.value);
       if (!done) return;  // an error at the store: the call fails at its time
       reply.yes = *done;
       break;
     }
     case Call::release:
-      reply.yes = store_.release(now_, ask.key, ask.session).value_or(false);
+      reply.yes = store_.release(events_.now(), ask.key, ask.session).value_or(false);
       break;
     case Call::compareAndSet:
-      reply.yes = store_.compareAndSet(now_, ask.key, ask.index, ask.value);
+      reply.yes = store_.compareAndSet(events_.now(), ask.key, ask.index, ask.value);
       break;
     case Call::read:
       if (ask.index > 0 && ask.index == store_.changedAt(ask.key, ask.recurse)) return wait(from, ask);
@@ -148,12 +142,12 @@
       break;
   }
   traffic_.bytes += bytesOf(reply);
-  at(now_ + delay(), [this, &from, id = ask.id, reply] { answer(from, id, reply); });
+  at(events_.now() + delay(), [this, &from, id = ask.id, reply] { answer(from, id, reply); });
 }
 
 void HollowCandidates::wait(Candidate& from, const Ask& ask) {
   reads_.push_back({&from, ask});
-  at(now_ + ask.blockFor, [this, &from, ask] {
+  at(events_.now() + ask.blockFor, [this, &from, ask] {
     const auto found = std::find_if(reads_.begin(), reads_.end(), [&](const Read& read) {
       return read.who == &from && read.ask.id == ask.id;
     });
@@ -161,7 +155,7 @@
     reads_.erase(found);
     const Reply reply = readOf(ask);
     traffic_.bytes += bytesOf(reply);
-    at(now_ + delay(), [this, &from, id = ask.id, reply] { answer(from, id, reply); });
+    at(events_.now() + delay(), [this, &from, id = ask.id, reply] { answer(from, id, reply); });
   });
 }
 
@@ -183,10 +177,10 @@
     Candidate* who = read->who;
     const Ask ask = read->ask;
     read = reads_.erase(read);
-    at(now_, [this, who, ask] {
+    at(events_.now(), [this, who, ask] {
       const Reply reply = readOf(ask);
       traffic_.bytes += bytesOf(reply);
-      at(now_ + delay(), [this, who, id = ask.id, reply] { answer(*who, id, reply); });
+      at(events_.now() + delay(), [this, who, id = ask.id, reply] { answer(*who, id, reply); });
     });
   }
 }
--- a/tools/lab/hollow_duty.hpp
+++ b/tools/lab/hollow_duty.hpp
@@ -6,11 +6,11 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <queue>
 #include <random>
 #include <vector>
 
 #include "duty/duties.hpp"
+#include "event_queue.hpp"
 #include "store_state.hpp"
 
 namespace wingslip::lab {
@@ -37,12 +37,6 @@
  private:
   using Time = burlwind::duty::Time;
   struct Candidate;
-  struct Event {
-    Time at;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
   struct Read {
     Candidate* who;
     burlwind::duty::Ask ask;
@@ -57,9 +51,7 @@
   Time delay();
 
   std::mt19937_64 random_;
-  Time now_ = 0;
-  std::uint64_t order_ = 0;
-  std::priority_queue<Event> events_;
+  EventQueue events_;
   StoreState store_;
   std::list<Read> reads_;  // that wait for a change
   std::vector<std::unique_ptr<Candidate>> candidates_;
--- a/tools/lab/hollow_replica.cpp
+++ b/tools/lab/hollow_replica.cpp
@@ -51,7 +51,7 @@
     core = std::make_unique<Replica>(Timing{}, kFleet, rowFor(index, generation),
                                      std::map<std::string, std::string>{}, fleet.random_(), *this);
     core->restore(members, rows);
-    core->start(fleet.now_);
+    core->start(fleet.events_.now());
     arm();
   }
   void arm() {
@@ -60,7 +60,7 @@
     const std::uint64_t mine = ++armed;
     fleet.at(next, [this, mine] {
       if (mine != armed) return;
-      core->tick(fleet.now_);
+      core->tick(fleet.events_.now());
       arm();
     });
   }
@@ -69,7 +69,7 @@
     fleet.heard_ += row.key == "new-" + std::to_string(fleet.written_);
   }
   void told(const std::string&) override {}
-  std::int64_t unixMs() const override { return kUnixStart + static_cast<std::int64_t>(fleet.now_); }
+  std::int64_t unixMs() const override { return kUnixStart + static_cast<std::int64_t>(fleet.events_.now()); }
 
   HollowReplicas& fleet;
   std::size_t index;
@@ -90,23 +90,17 @@
 
 HollowReplicas::~HollowReplicas() = default;
 
-void HollowReplicas::at(Time when, std::function<void()> what) {
-  events_.push({std::max(when, now_), ++order_, std::move(what)});
-}
+void HollowReplicas::at(Time when, std::function<void()> what) { events_.at(when, std::move(what)); }
 
 HollowReplicas::Time HollowReplicas::delay() {
   return std::uniform_real_distribution<Time>(kLeastDelay, kMostDelay)(random_);
 }
 
 void HollowReplicas::run(Time milliseconds) {
-  const Time until = now_ + milliseconds;
-  while (!events_.empty() && events_.top().at <= until) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    event.what();
+  const Time until = events_.now() + milliseconds;
+  while (const auto action = events_.next(until)) {
+    (*action)();
   }
-  now_ = until;
 }
 
 void HollowReplicas::carry(Member& from, const Replica::Send& send) {
@@ -115,10 +109,10 @@
   traffic_.bytes += request.size();
   const std::size_t to = std::stoul(send.name.substr(send.name.rfind('-') + 1));
   const std::uint64_t id = send.id, generation = from.generation;
-  at(now_ + delay(), [this, &from, to, id, generation, request] {
+  at(events_.now() + delay(), [this, &from, to, id, generation, request] {
     Member& member = *members_[to];
     const auto answer =
-        member.core->received(now_, burlwind::replica::decode(request.data(), request.size()));
+        member.core->received(events_.now(), burlwind::replica::decode(request.data(), request.size()));
     member.arm();
     std::optional<Message> heard;
     if (answer) {
@@ -127,9 +121,9 @@
       traffic_.bytes += text.size();
       heard = burlwind::replica::decode(text.data(), text.size());
     }
-    at(now_ + delay(), [this, &from, id, generation, heard] {
+    at(events_.now() + delay(), [this, &from, id, generation, heard] {
       if (from.generation != generation) return;  // asked by a process that is gone
-      from.core->answered(now_, id, heard);
+      from.core->answered(events_.now(), id, heard);
       from.arm();
     });
   });
@@ -139,15 +133,15 @@
   ++written_;
   heard_ = 1;  // the writer
   Member& writer = *members_.front();
-  writer.core->set(now_, "t", "new-" + std::to_string(written_), std::string(kRowBytes, 'n'));
+  writer.core->set(events_.now(), "t", "new-" + std::to_string(written_), std::string(kRowBytes, 'n'));
   writer.arm();
 }
 
 HollowReplicas::Time HollowReplicas::runUntilEverywhere(Time most) {
   constexpr Time kStep = 10;
-  const Time start = now_;
-  while (heard_ < members_.size() && now_ - start < most) run(kStep);
-  return now_ - start;
+  const Time start = events_.now();
+  while (heard_ < members_.size() && events_.now() - start < most) run(kStep);
+  return events_.now() - start;
 }
 
 void HollowReplicas::restartLast() {
--- a/tools/lab/hollow_replica.hpp
+++ b/tools/lab/hollow_replica.hpp
@@ -5,11 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "event_queue.hpp"
 #include "replica/replica.hpp"
 
 namespace wingslip::lab {
@@ -41,20 +41,12 @@
  private:
   using Time = burlwind::replica::Time;
   struct Member;
-  struct Event {
-    Time at;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
   void at(Time when, std::function<void()> what);
   void carry(Member& from, const burlwind::replica::Replica::Send& send);
   Time delay();
 
   std::mt19937_64 random_;
-  Time now_ = 0;
-  std::uint64_t order_ = 0;
-  std::priority_queue<Event> events_;
+  EventQueue events_;
   std::vector<std::unique_ptr<Member>> members_;
   Traffic traffic_;
   std::size_t heard_ = 0, written_ = 0;  // heard_: members that have the last row written
