--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -213,6 +213,7 @@
     const std::string name = "g" + std::to_string(g);
     gk.index = g, gk.port = ports_.listen(g);
     gk.config = out / (name + ".json"), gk.log = out / (name + ".log");
+    if (s_.faultLibrary) gk.faults = std::make_shared<FaultFile>(out / (name + ".faults"), s_.system);
     if (s_.heldSockets) {
       gk.held = holdSocket(gk.port);
       gk.state = out / (name + ".state");
@@ -339,6 +340,7 @@
              });
       return;
     }
+    if (step.what == "calls" || step.what == "clock_step" || step.what == "disk") return systemFault(step);
     if (step.gatekeeper && !step.worker && !step.zone) {
       Gatekeeper& gk = gatekeepers_[*step.gatekeeper];
       const int g = gk.index;
@@ -379,6 +381,28 @@
     }
   }
 
+  // Of one gatekeeper's system, or of all.
+  void systemFault(const Step& step) {
+    for (const Gatekeeper& gk : gatekeepers_) {
+      if (step.gatekeeper && *step.gatekeeper != gk.index) continue;
+      if (step.call) gk.faults->setShare(*step.call, step.share);
+      if (step.what == "clock_step") gk.faults->stepWallClock(step.stepMs);
+      if (step.what == "disk") gk.faults->setDiskError(step.diskError);
+    }
+  }
+
+  // Calls that the fault library failed, in all gatekeepers.
+  std::map<std::string, std::uint64_t> failedCalls() const {
+    std::map<std::string, std::uint64_t> out;
+    for (const Gatekeeper& gk : gatekeepers_) {
+      if (!gk.faults) continue;
+      for (const auto& [kind, n] : gk.faults->injected())
+        out[kCallFaultNames[static_cast<std::size_t>(kind)]] += n;
+      if (const std::uint64_t n = gk.faults->diskFailed()) out["disk"] += n;
+    }
+    return out;
+  }
+
   // Whether gatekeepers can reach their agents over links in this mode.
   void setHeard(const Step& step, LinkMode mode) {
     const bool heard = mode == LinkMode::pass || mode == LinkMode::delay || mode == LinkMode::throttle;
@@ -436,6 +460,7 @@
   int verdict() {
     record_.seed = o_.seed;
     record_.notSent = load_.notSent();
+    record_.failedCalls = failedCalls();
     if (store_) record_.store = StoreUse{store_->calls(), store_->callsBySecond(), claims_};
     for (const auto& [g, clients] : idleClients_) observed_.idleClients[g] = clients->counts();
     record_.idleClients = observed_.idleClients;
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -28,6 +28,17 @@
 constexpr unsigned kBlock = 1 + kMost * (2 + kOpsEach);
 constexpr int kInherited = 7;  // the descriptor that BALANCER_ACCEPT_FD names
 
+// Before exec: the program loads the fault library and finds its control file.
+void preload(const Gatekeeper& gk) {
+  ::setenv("LD_PRELOAD", faultLibrary().c_str(), 1);
+  ::setenv(kFaultFileVariable, gk.faults->path().c_str(), 1);
+  ::setenv(kFaultSeedVariable, std::to_string(gk.index * kMost + static_cast<unsigned>(gk.starts)).c_str(),
+           1);
+  // A sanitizer's runtime wants to come first where a library is preloaded; it works behind this one as well.
+  const char* options = ::getenv("ASAN_OPTIONS");
+  ::setenv("ASAN_OPTIONS", (std::string(options ? options : "") + ":verify_asan_link_order=0").c_str(), 1);
+}
+
 }  // namespace
 
 Ports::Ports(asio::io_context& io) : marker_(io) {
@@ -92,6 +103,7 @@
       ::unsetenv("TMPDIR");
     else
       ::setenv("TMPDIR", gk.state.c_str(), 1);
+    if (gk.faults) preload(gk);
     ::setenv("BALANCER_CONFIG", gk.config.c_str(), 1);
     ::setenv("BALANCER_OPS", ops.c_str(), 1);
     ::execl(program.c_str(), "burlwind", static_cast<char*>(nullptr));
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "faults/system_faults.hpp"
+
 namespace wingslip::lab {
 
 // A block of ports of this lab's own, and its marker, a listening socket on the block's first port held for
@@ -39,6 +41,7 @@
   int index = 0;
   unsigned short port = 0;
   std::filesystem::path config, log, state;  // state: its $TMPDIR; empty: it has none
+  std::shared_ptr<FaultFile> faults;         // of its system; null: it runs without the fault library
   int held = -1;                             // the clients' listening socket, where the lab holds it
   Process now, old;                          // old: of an upgrade, until it ends
   int starts = 0;
--- a/tools/lab/run_report.cpp
+++ b/tools/lab/run_report.cpp
@@ -113,6 +113,7 @@
            {"fates", fateCounts(judge)},
            {"served_ms", servedQuantiles(judge)},
            {"unmet", record.unmet}};
+  if (!record.failedCalls.empty()) out["failed_calls"] = record.failedCalls;
   if (record.store) out["store"] = storeJson(*record.store);
   if (!record.idleClients.empty()) out["idle_clients"] = idleClientsJson(record.idleClients);
   if (!record.figures.empty()) out["figures"] = figuresJson(record.figures);
@@ -150,6 +151,7 @@
                                           std::to_string(s["store"]["claims"].size()) + " claims"
                                     : "")
             << "\nfaults: " << s["faults"].size() << ", not sent: " << s["not_sent"] << "\n";
+  if (s.contains("failed_calls")) std::cout << "failed calls: " << s["failed_calls"].dump() << "\n";
   if (s.contains("idle_clients"))
     for (const auto& counts : s["idle_clients"])
       std::cout << "idle clients of gatekeeper " << counts["gatekeeper"] << ": " << counts["opened"]
--- a/tools/lab/run_report.hpp
+++ b/tools/lab/run_report.hpp
@@ -48,7 +48,8 @@
   std::uint64_t seed = 1;
   long notSent = 0;  ///< requests for which no gatekeeper was in the front, or too many were in flight
   long mostKb = 0;   ///< peak memory of a gatekeeper
-  long mostDescriptors = 0;  ///< open descriptors of a gatekeeper at the end
+  long mostDescriptors = 0;                          ///< open descriptors of a gatekeeper at the end
+  std::map<std::string, std::uint64_t> failedCalls;  ///< by the fault library in all gatekeepers, by kind
   std::vector<StepDone> steps;
   std::vector<PlotMark> marks;
   std::optional<StoreUse> store;
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -21,6 +21,7 @@
 const std::set<std::string> kLinkFaults{"cut", "blackhole", "oneway", "delay", "throttle", "heal"};
 const std::set<std::string> kLinks{"discovery", "store", "peers"};
 const std::set<std::string> kWorkerFaults{"drain", "silent", "revive", "restart_worker"};
+const std::set<std::string> kSystemFaults{"calls", "clock_step", "disk"};
 const std::set<std::string> kFates{"served",      "refused",        "failed",        "closed",
                                    "unreachable", "lost",           "wrong",         "attempts",
                                    "upgrades",    "claims",         "roster_here",   "roster_draining",
@@ -101,6 +102,33 @@
   std::string path_;
 };
 
+SystemFaults readSystemFaults(const Reader& r, const toml::table& table) {
+  std::set<std::string> keys(kCallFaultNames.begin(), kCallFaultNames.end());
+  keys.insert("wall_offset_ms");
+  r.onlyKeys(table, keys);
+  SystemFaults out;
+  for (std::size_t i = 0; i < kCallFaults; ++i)
+    if (table.get(kCallFaultNames[i]))
+      out.shares[static_cast<CallFault>(i)] = r.number(table, kCallFaultNames[i], 0.0, 0, 1);
+  out.wallOffsetMs = r.number(table, "wall_offset_ms", 0.0, -1e9, 1e9);
+  return out;
+}
+
+// The fields of a step that changes a gatekeeper's system.
+void readSystemStep(const Reader& r, const toml::table& table, Step& step) {
+  if (step.what == "calls") {
+    const std::string name = table["call"].value_or(std::string());
+    step.call = callFaultOf(name);
+    if (!step.call) r.bad(table.source(), "calls needs call = the kind that fails, not " + name);
+    step.share = r.number(table, "share", 0.0, 0, 1);
+  }
+  step.stepMs = r.number(table, "step_ms", 0.0, -1e9, 1e9);
+  if (step.what != "disk") return;
+  const std::optional<int> error = diskErrorOf(table["error"].value_or(std::string()));
+  if (!error) r.bad(table.source(), "disk needs error = none, ENOSPC or EIO");
+  step.diskError = *error;
+}
+
 const std::map<std::string, std::string> kUndo{
     {"kill", "restart"},   {"term", "restart"},  {"stop", "cont"},          {"cut", "heal"},
     {"blackhole", "heal"}, {"oneway", "heal"},   {"delay", "heal"},         {"drain", "revive"},
@@ -169,8 +197,8 @@
     throw BadScenario(out.str());
   }
   const Reader r(path);
-  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "idle_clients", "worker", "store", "replica", "step",
-                    "expect", "random"});
+  r.onlyKeys(file, {"name", "length_s", "fleet", "load", "idle_clients", "worker", "store", "replica",
+                    "system", "step", "expect", "random"});
   Scenario s;
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
@@ -229,13 +257,17 @@
     s.gossipEveryMs = r.number(*replica, "gossip_every_ms", s.gossipEveryMs, 20, 60000);
     s.repairEveryMs = r.number(*replica, "repair_every_ms", s.repairEveryMs, 100, 3600000);
   }
+  if (const toml::table* system = file["system"].as_table()) {
+    s.faultLibrary = true;
+    s.system = readSystemFaults(r, *system);
+  }
   double last = 0;
   if (const toml::array* steps = file["step"].as_array()) {
     for (const toml::node& node : *steps) {
       const toml::table* table = node.as_table();
       if (!table) r.bad(node.source(), "a step is a table: [[step]]");
       r.onlyKeys(*table, {"at_s", "do", "gatekeeper", "worker", "zone", "link", "below", "delay_ms",
-                          "bytes_per_s", "patch"});
+                          "bytes_per_s", "patch", "call", "share", "step_ms", "error"});
       Step step;
       step.line = static_cast<int>(table->source().begin.line);
       if (!table->get("at_s")) r.bad(table->source(), "a step has no at_s");
@@ -278,6 +310,10 @@
         if (!step.gatekeeper) r.bad(what->source(), step.what + " needs a gatekeeper");
         if (step.what == "upgrade" && !s.heldSockets)
           r.bad(what->source(), "upgrade needs fleet.held_sockets = true");
+      } else if (kSystemFaults.contains(step.what)) {
+        if (onWorkers) r.bad(what->source(), step.what + " is a gatekeeper's: it takes no worker");
+        s.faultLibrary = true;
+        readSystemStep(r, *table, step);
       } else if (kLinkFaults.contains(step.what) && !step.link.empty()) {
         // all gatekeepers' links of that name, or one's
       } else if (kLinkFaults.contains(step.what) || kWorkerFaults.contains(step.what)) {
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "faults/system_faults.hpp"
+
 namespace wingslip::lab {
 
 // A scenario that cannot be played: `what` names the file, line and column ("crash.toml:7:1: ...").
@@ -19,7 +21,8 @@
 // gatekeeper faults (kill, stop, cont, term, restart, upgrade, hup) set `gatekeeper`; link faults (cut,
 // blackhole, oneway, delay, throttle, heal) set `worker`, `zone` or `link` and optionally `gatekeeper` (all
 // when missing); worker faults (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults
-// (agent_down, agent_up) and `invalidate` (its sessions at the store) set `gatekeeper`; the store's
+// (agent_down, agent_up) and `invalidate` (its sessions at the store) set `gatekeeper`; faults of its system
+// (calls, clock_step, disk) set `gatekeeper`, or none for all; the store's
 // (store_stop, store_start, store_wipe, store_save, store_old, store_silent, store_errors, store_lose,
 // store_ok) set none.
 struct Step {
@@ -32,10 +35,14 @@
   std::optional<std::string> zone;
   std::string link;  // "discovery", "store": the links are those of gatekeepers to it; "peers": to each other
   int below = 0;     // "peers" only: the links between gatekeepers below this and the others, both ways
-  double delayMs = 0;    // `delay` only: added to each piece, each way
-  double bytesPerS = 0;  // `throttle` only: what passes at most, each way
-  std::string patch;     // `hup` only: a JSON merge patch of that gatekeeper's configuration file
-  int line = 0;          // where it stands in the file, for messages
+  double delayMs = 0;             // `delay` only: added to each piece, each way
+  double bytesPerS = 0;           // `throttle` only: what passes at most, each way
+  std::string patch;              // `hup` only: a JSON merge patch of that gatekeeper's configuration file
+  std::optional<CallFault> call;  // `calls` only: the kind of system calls that fail from now on
+  double share = 0;               // `calls` only: of these calls
+  double stepMs = 0;              // `clock_step` only: by how much the wall clock is stepped
+  int diskError = 0;              // `disk` only: errno of writes to files from now on; 0: none
+  int line = 0;                   // where it stands in the file, for messages
 };
 
 // Clients that connect to each gatekeeper and rest; a connection that the gatekeeper closes comes back at
@@ -96,7 +103,10 @@
   // them.
   bool replica = false;
   double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
-  IdleLoad idle;            // `[idle_clients]`
+  IdleLoad idle;  // `[idle_clients]`
+  // `[system]`, or a step of that kind: every gatekeeper runs with the fault library.
+  bool faultLibrary = false;
+  SystemFaults system;      // from each start of a gatekeeper on
   std::string configPatch;  // a JSON merge patch of every gatekeeper's configuration; empty: none
   std::vector<Step> steps;
   std::vector<Expect> expects;
