Sockets: an interrupted, short or starved call says nothing of the connection

Cause: Connection::gone, the read after async_wait (client_connection.cpp), spoiled, writeOn and watchIdle (worker_pool.cpp) and endedBehind's poll took every error but EAGAIN for the connection's end; Asio's composed write waits for an edge of epoll after a short write, which a buffer with room never gives. Change: socket_io.hpp: readSome, writeSome, peerState and asyncWriteAll retry EINTR, take ENOBUFS and ENOMEM as EAGAIN and write on until EAGAIN; used by clients, workers, operators, discovery, calls and the replica.

--- a/src/node/back_pressure.cpp
+++ b/src/node/back_pressure.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <utility>
 #include <vector>
@@ -38,7 +39,11 @@
 
 bool endedBehind(tcp::socket& socket) {
   pollfd one{socket.native_handle(), POLLRDHUP, 0};
-  return poll(&one, 1, 0) == 1 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  int ready = 0;
+  do {
+    ready = poll(&one, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready == 1 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 std::size_t queuedAt(tcp::acceptor& acceptor) {
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <utility>
 #include <variant>
 
+#include "node/socket_io.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -154,11 +155,9 @@
 
 bool ClientServer::Connection::gone() {
   if (state_ == State::closed) return true;
-  char byte;
-  Error error;
-  const std::size_t n = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  if (error) return error != asio::error::would_block;
-  return n == 0 || endedBehind(socket_);
+  const PeerState seen = peerState(socket_);
+  if (seen == PeerState::has_sent) return endedBehind(socket_);
+  return seen == PeerState::ended;
 }
 
 void ClientServer::Connection::leave() {
@@ -260,7 +259,7 @@
                        Error error = waited;
                        const std::size_t n =
                            error ? 0
-                                 : socket_.read_some(in_.prepare(inBody_ ? kStreamStep : kReadStep), error);
+                                 : readSome(socket_, in_.prepare(inBody_ ? kStreamStep : kReadStep), error);
                        if (error == asio::error::would_block) return read();
                        if (error) return close();
                        in_.commit(n);
@@ -462,10 +461,12 @@
   if (!writing_.empty() || out_.empty()) return;
   writing_.swap(out_);
   if (state_ == State::answering || state_ == State::streaming) arm(server_.limits_.writeWithin);
-  asio::async_write(socket_, asio::buffer(writing_), guard([this](const Error& error, std::size_t) {
-                      if (error) return close();
-                      written();
-                    }));
+  asyncWriteAll(
+      socket_, asio::buffer(writing_), [self = shared_from_this(), this] { return state_ != State::closed; },
+      [self = shared_from_this(), this](const Error& error) {
+        if (error) return close();
+        written();
+      });
 }
 
 void ClientServer::Connection::written() {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,7 +1,6 @@
 #include "node/discovery.hpp"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdio>
 #include <optional>
@@ -10,6 +9,7 @@
 
 #include "node/http.hpp"
 #include "node/quiet_log.hpp"
+#include "node/socket_io.hpp"
 
 namespace burlwind {
 namespace {
@@ -125,10 +125,13 @@
     request.set(http::field::host, "discovery");
     out_.clear();
     append(out_, request);
-    asio::async_write(socket_, asio::buffer(out_), guard([this](const Error& error, std::size_t) {
-                        if (error) return lost("broken");
-                        read();
-                      }));
+    asyncWriteAll(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this(), this, round = round_] { return round == round_; },
+        [self = shared_from_this(), this](const Error& error) {
+          if (error) return lost("broken");
+          read();
+        });
   }
 
   // Nothing is held of a list that will not be whole.
@@ -167,6 +170,7 @@
   void readOn() {
     paused_.clear();
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
+                              if (isTransient(error)) return read();
                               if (error) return lost("ended");
                               in_.commit(n);
                               stats_.read += n;
--- a/src/node/http_calls.cpp
+++ b/src/node/http_calls.cpp
@@ -2,11 +2,11 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
 #include "node/guarded_connection.hpp"
 #include "node/http.hpp"
+#include "node/socket_io.hpp"
 
 namespace burlwind {
 namespace {
@@ -41,11 +41,7 @@
     }));
     socket_.async_connect(to_, guard([this](const Error& error, std::size_t) {
                             if (error) return end(nullptr, "cannot connect");
-                            asio::async_write(socket_, asio::buffer(out_),
-                                              guard([this](const Error& wrong, std::size_t) {
-                                                if (wrong) return end(nullptr, "broken");
-                                                read();
-                                              }));
+                            write();
                           }));
   }
 
@@ -65,9 +61,19 @@
   }
 
  private:
+  void write() {
+    asyncWriteAll(
+        socket_, asio::buffer(out_), [self = shared_from_this()] { return !self->ended(); },
+        [self = shared_from_this(), this](const Error& error) {
+          if (error) return end(nullptr, "broken");
+          read();
+        });
+  }
+
   void read() {
     http::async_read_some(
         socket_, in_, parser_, guard([this](const Error& error, std::size_t) {
+          if (isTransient(error)) return read();
           if (error) return end(nullptr, error == http::error::body_limit ? "too long an answer" : "broken");
           if (parser_.is_done()) return end(&parser_.get(), "");
           if (!room_.resize(kCall + out_.size() + parser_.get().body().size() * calls_.limits_.parsed))
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <stdexcept>
 #include <utility>
 
 #include "node/guarded_connection.hpp"
+#include "node/socket_io.hpp"
 
 namespace burlwind {
 namespace {
@@ -66,7 +66,9 @@
     out_ = std::move(text);
     if (out_.size() > kWithin && !room_.resize(kCaller + out_.size()))
       out_ = "400 no memory for the answer now\n";
-    asio::async_write(socket_, asio::buffer(out_), guard([this](const Error&, std::size_t) { finish(); }));
+    asyncWriteAll(
+        socket_, asio::buffer(out_), [self = shared_from_this()] { return !self->ended(); },
+        [self = shared_from_this()](const Error&) { self->finish(); });
   }
 
   void finish() {
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "node/guarded_connection.hpp"
+#include "node/socket_io.hpp"
 
 namespace burlwind {
 namespace {
@@ -141,12 +142,7 @@
   RequestId request() const { return outcome_.id; }
 
   // Whether the worker has ended or spoiled this idle connection and the read has not told yet.
-  bool spoiled() {
-    char byte;
-    Error error;
-    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
-  }
+  bool spoiled() { return peerState(socket_) != PeerState::quiet; }
 
   void rest() {
     restedAt_ = Clock::now();
@@ -250,7 +246,7 @@
   // given up in between would count as never sent.
   void writeOn() {
     Error error;
-    while (!error && sent_ < out_.size()) sent_ += socket_.write_some(asio::buffer(out_) + sent_, error);
+    sent_ += writeSome(socket_, asio::buffer(out_) + sent_, error);
     if (error == asio::error::would_block)
       return socket_.async_wait(tcp::socket::wait_write,
                                 guard([this, id = outcome_.id](const Error&, std::size_t) {
@@ -319,6 +315,7 @@
   void received(const Error& error, std::size_t n) {
     in_.commit(n);
     if (!busy_) return pool_.drop(*this);
+    if (isTransient(error)) return read();
     error ? broken(error) : take();
   }
 
@@ -332,8 +329,7 @@
                          if (settling_) return end(Result::connectFailed);  // a late second answer
                          if (!room_.resize(cost(kReadStep))) return read();
                          Error error;
-                         const std::size_t n = socket_.read_some(in_.prepare(kReadStep), error);
-                         if (error == asio::error::would_block) return read();
+                         const std::size_t n = readSome(socket_, in_.prepare(kReadStep), error);
                          received(error, n);
                        }));
   }
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -16,6 +16,7 @@
 #include "node/answer_lines.hpp"
 #include "node/guarded_connection.hpp"
 #include "node/http.hpp"
+#include "node/socket_io.hpp"
 
 namespace burlwind::replica {
 namespace {
@@ -91,6 +92,7 @@
     http::async_read_some(socket_, in_, parser_, guard([this](const Error& error, std::size_t) {
                             if (error == http::error::body_limit)
                               return refuse(http::status::payload_too_large);
+                            if (isTransient(error)) return read();
                             if (error) return ++node_.malformed_, end();
                             if (!room_.resize(kSession + parser_.get().body().size() * kParsed))
                               return refuse(http::status::service_unavailable);
@@ -121,16 +123,20 @@
   }
 
   void say(http::status status, std::string body) {
-    reply_ = {status, 11};
-    reply_.set(http::field::connection, "close");
-    reply_.body() = std::move(body);
-    reply_.prepare_payload();
-    node_.bytesOut_ += reply_.body().size();
-    http::async_write(socket_, reply_, guard([this](const Error&, std::size_t) {
-                        Error ignored;
-                        socket_.shutdown(tcp::socket::shutdown_send, ignored);
-                        end();
-                      }));
+    http::response<http::string_body> reply(status, 11);
+    reply.set(http::field::connection, "close");
+    reply.body() = std::move(body);
+    reply.prepare_payload();
+    node_.bytesOut_ += reply.body().size();
+    out_.clear();
+    append(out_, reply);
+    asyncWriteAll(
+        socket_, asio::buffer(out_), [self = shared_from_this()] { return !self->ended(); },
+        [self = shared_from_this(), this](const Error&) {
+          Error ignored;
+          socket_.shutdown(tcp::socket::shutdown_send, ignored);
+          end();
+        });
   }
 
   void end() {
@@ -145,7 +151,7 @@
   asio::steady_timer timer_;
   beast::flat_buffer in_;
   http::request_parser<http::string_body> parser_;
-  http::response<http::string_body> reply_;
+  std::string out_;
 };
 
 ReplicaNode::ReplicaNode(asio::io_context& io, const Replication& where, const std::string& name,
