Clients: at a stop the listener closes only once the machine's queue is empty

Cause: stopAccepting left its loop at the first error of accept, whichever it was, and closed the listener, which resets the connections that still waited; a connection that found no memory was dropped by add. Change: errors of one connection and interrupted calls go on to the next; for want of descriptors or memory an idle connection is closed and the queue is tried again every 10 ms, the listener open meanwhile.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -17,6 +17,20 @@
 
 constexpr double kLeastAway = 250;   // ms advised where the pressure is expected to be over sooner
 constexpr auto kAcceptPause = 50ms;  // after an accept that failed for want of descriptors
+constexpr auto kStopPause = 10ms;    // the same where the listener is about to close
+
+// Whether accept failed for want of something that this machine has to have free again first: the connection
+// stays in the machine's queue.
+bool isShortage(const Error& error) {
+  return error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
+         error == asio::error::no_memory || error == boost::system::errc::too_many_files_open_in_system;
+}
+
+// Whether the machine's queue is empty. Any other error but a shortage is that of one connection, or of an
+// interrupted call: the next accept may succeed (accept(2), "Error handling").
+bool isQueueEmpty(const Error& error) {
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
 
 }  // namespace
 
@@ -118,9 +132,7 @@
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
-    if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
-        error == asio::error::no_buffer_space || error == asio::error::no_memory)
-      return acceptLater();
+    if (isShortage(error)) return acceptLater();
     if (!error) {
       ++stats_.accepted;
       waiting_ = std::move(socket);
@@ -254,19 +266,50 @@
 
 void ClientServer::stopAccepting() {
   open_ = false;
+  pause_.cancel();
+  overflowTimer_.cancel();
+  noRoom_.leave();
   if (waiting_) addAtStop(*std::exchange(waiting_, std::nullopt));
-  for (int left = config_.acceptFd < 0 ? tcp::acceptor::max_listen_connections : 0; left > 0; --left) {
+  if (config_.acceptFd < 0) return takeQueued();
+  closeListener();
+}
+
+// Closing the listener resets what still waits in its queue. Where descriptors or memory are short, it stays
+// open until the queue could be emptied.
+void ClientServer::takeQueued() {
+  for (int left = tcp::acceptor::max_listen_connections; left > 0; --left) {
+    if (!makeRoomAtStop()) return takeQueuedLater();
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
-    if (error) break;
-    addAtStop(std::move(socket));
+    if (isQueueEmpty(error)) break;
+    if (isShortage(error)) {
+      closeLeastRecentlyUsed();
+      return takeQueuedLater();
+    }
+    if (!error) addAtStop(std::move(socket));
   }
+  closeListener();
+}
+
+void ClientServer::takeQueuedLater() {
+  pause_.expires_after(kStopPause);
+  pause_.async_wait([this](const Error& error) {
+    if (!error) takeQueued();
+  });
+}
+
+// Whether there is memory for one more connection.
+bool ClientServer::makeRoomAtStop() {
+  while (pressure_.ledger().room(Account::clients) < kConnection)
+    if (!closeLeastRecentlyUsed()) return false;
+  return true;
+}
+
+void ClientServer::closeListener() {
   Error ignored;
   acceptor_.close(ignored);
-  pause_.cancel();
-  overflowTimer_.cancel();
-  noRoom_.leave();
+  if (connections_.empty() && done_) done_();
 }
 
 // There is no other place for it any more, so that it is taken over the limit where none is idle.
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -152,6 +152,11 @@
   void admitWaiting();
   void add(boost::asio::ip::tcp::socket socket);
   void addAtStop(boost::asio::ip::tcp::socket socket);
+  /// Accepts what the machine's queue still holds, then closes the listener.
+  void takeQueued();
+  void takeQueuedLater();
+  bool makeRoomAtStop();
+  void closeListener();
   void remove(const std::shared_ptr<Connection>& connection);
   /// Closes the connection that has been idle longest. False: none is idle.
   bool closeLeastRecentlyUsed();
