Tests: the program under faults; SIGTERM is lost, and an aborted connection holds the loop

Measured on the code before: after SIGTERM with half of the reads interrupted 1 of 2 processes still ran 8 s later; after one connection that its peer aborted in the queue, an answer that its worker had given did not reach its client within 5 s.

--- a/tools/lab/faults/fault_control.hpp
+++ b/tools/lab/faults/fault_control.hpp
@@ -21,12 +21,13 @@
   connect,         ///< connect fails: EADDRNOTAVAIL, ENETUNREACH, ECONNREFUSED, ETIMEDOUT
   broken,          ///< a connection to a peer breaks: a read or a write fails with ETIMEDOUT or EHOSTUNREACH
   memory,          ///< ENOBUFS or ENOMEM from a read or a write
+  aborted,         ///< the peer aborts a connection while it waits to be accepted: ECONNABORTED
 };
-constexpr std::size_t kCallFaults = 8;
+constexpr std::size_t kCallFaults = 9;
 
 /// The name of each kind in scenario files, in the order of CallFault.
 constexpr std::array<const char*, kCallFaults> kCallFaultNames{
-    "interrupted", "short", "accept", "accept_full", "socket", "connect", "broken", "memory"};
+    "interrupted", "short", "accept", "accept_full", "socket", "connect", "broken", "memory", "aborted"};
 
 constexpr std::uint32_t kFaultControlVersion = 1;
 constexpr std::uint32_t kCertain = 1000000;  // a share of one
--- a/tools/lab/faults/fault_library.cpp
+++ b/tools/lab/faults/fault_library.cpp
@@ -6,7 +6,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <stdarg.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -120,6 +120,15 @@
   return out;
 }
 
+/// The accepted connection, or none where its peer aborts it while it waits in the queue.
+int abortedOr(int accepted) {
+  if (accepted < 0 || !strikes(CallFault::aborted)) return accepted;
+  const linger reset{1, 0};
+  ::setsockopt(accepted, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  next<int(int)>("close")(accepted);
+  return failed<int>(ECONNABORTED);
+}
+
 std::int64_t wallOffsetMs() { return control ? control->wallOffsetMs.load(std::memory_order_relaxed) : 0; }
 
 __attribute__((constructor)) void mapControl() {
@@ -209,12 +218,18 @@
   return real(descriptor, events, most, timeout);
 }
 
+int poll(pollfd* descriptors, nfds_t count, int timeout) {
+  static const auto real = next<int(pollfd*, nfds_t, int)>("poll");
+  if (strikes(CallFault::interrupted)) return failed<int>(EINTR);
+  return real(descriptors, count, timeout);
+}
+
 int accept(int descriptor, sockaddr* address, socklen_t* length) {
   static const auto real = next<int(int, sockaddr*, socklen_t*)>("accept");
   if (strikes(CallFault::accept_full)) return failed<int>(oneOf({EMFILE, ENFILE}));
   if (strikes(CallFault::accept))
     return failed<int>(oneOf({ECONNABORTED, EINTR, ENFILE, ENOBUFS, EPROTO, ENETUNREACH}));
-  return real(descriptor, address, length);
+  return abortedOr(real(descriptor, address, length));
 }
 
 int accept4(int descriptor, sockaddr* address, socklen_t* length, int flags) {
@@ -222,7 +237,7 @@
   if (strikes(CallFault::accept_full)) return failed<int>(oneOf({EMFILE, ENFILE}));
   if (strikes(CallFault::accept))
     return failed<int>(oneOf({ECONNABORTED, EINTR, ENFILE, ENOBUFS, EPROTO, ENETUNREACH}));
-  return real(descriptor, address, length, flags);
+  return abortedOr(real(descriptor, address, length, flags));
 }
 
 int socket(int domain, int type, int protocol) {
