Listeners: a connection aborted in the queue no longer holds up the process

Cause: without enable_connection_aborted Asio's synchronous accept answers ECONNABORTED and EPROTO by poll(fd, -1) for the next connection (socket_ops::sync_accept), inside the one loop; the asynchronous one leaves the queue until the next connection comes. accept was called from client_server.cpp takeNext. Change: the option is set at the clients', the operators' and the replica's listener; the error comes to the handler, which accepts the next.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -74,6 +74,9 @@
       acceptor_.listen();
     }
     acceptor_.non_blocking(true);
+    // Without it Asio waits for the next connection, and with it the whole process, after one that was
+    // aborted while it stood in the queue.
+    acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen: ") + error.what());
   }
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -96,6 +96,8 @@
   try {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    // Without it Asio leaves the rest of the queue until the next connection comes.
+    acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
     acceptor_.bind(at);
     acceptor_.listen();
   } catch (const boost::system::system_error& error) {
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -211,6 +211,7 @@
   Error error;
   acceptor_.open(where_.listen.protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true), error);
   if (!error) acceptor_.bind(where_.listen, error);
   if (!error) acceptor_.listen(128, error);
   if (error) {
