Signals: an interrupted or short read of the pipe loses none

Cause: Asio's signal_set takes signal numbers from a pipe and ends its read at the first error (pipe_read_op); the edge of epoll is gone then, so that SIGTERM is not seen until another signal comes. Change: signal_watch: handlers note a flag and write to a pipe, the loop wakes by a wait that is armed anew each time and reads the flags. SIGHUP and SIGTERM go through it; equal signals of one moment count once.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,6 +1,5 @@
 // burlwind: one gatekeeper on real sockets.
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "node/gatekeeper.hpp"
+#include "node/signal_watch.hpp"
 
 namespace {
 
@@ -17,26 +17,20 @@
 constexpr int kReadsOfAChange = 3;  // of a file that is no JSON yet: it may be half written
 constexpr auto kBetweenReads = std::chrono::milliseconds(100);
 
-// SIGHUP: reads the configuration again. One that cannot be read changes nothing and ends nothing.
+// SIGHUP reads the configuration again. One that cannot be read changes nothing and ends nothing.
 class Reloader {
  public:
   Reloader(boost::asio::io_context& io, burlwind::Gatekeeper& gatekeeper)
-      : gatekeeper_(gatekeeper), signals_(io, SIGHUP), pause_(io) {
-    wait();
-  }
+      : gatekeeper_(gatekeeper), pause_(io) {}
 
- private:
-  void wait() {
-    signals_.async_wait([this](const Error& error, int) {
-      if (error) return;
-      // The next change has come before the one before it could be read.
-      if (std::exchange(unread_, false)) gatekeeper_.reloadFailed();
-      pause_.cancel();
-      reload(kReadsOfAChange);
-      wait();
-    });
+  void changed() {
+    // The next change has come before the one before it could be read.
+    if (std::exchange(unread_, false)) gatekeeper_.reloadFailed();
+    pause_.cancel();
+    reload(kReadsOfAChange);
   }
 
+ private:
   void reload(int reads) {
     try {
       unread_ = false;
@@ -63,7 +57,6 @@
   }
 
   burlwind::Gatekeeper& gatekeeper_;
-  boost::asio::signal_set signals_;
   boost::asio::steady_timer pause_;
   bool unread_ = false;  // a change that may be half written
 };
@@ -73,11 +66,12 @@
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
   burlwind::Gatekeeper gatekeeper(io, config);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error) gatekeeper.drain([&] { io.stop(); });
+  Reloader reloader(io, gatekeeper);
+  bool draining = false;
+  const burlwind::SignalWatch signals(io, {SIGTERM, SIGINT, SIGHUP}, [&](int number) {
+    if (number == SIGHUP) return reloader.changed();
+    if (!std::exchange(draining, true)) gatekeeper.drain([&] { io.stop(); });
   });
-  const Reloader reloader(io, gatekeeper);
   gatekeeper.start();
   io.run();
   return 0;
