Tests: exclusions by hand while the state folder fails; both fail

Need: a state folder may fail (ENOSPC, EIO) or be cut off by a kill; what was taken on is still owed. Change: two tests of the program with the fault library failing writes, syncs, renames and reads below $TMPDIR. Measured on the code before: `exclude s-1` is answered `200 excluded` while nothing could be written, and the worker is in use again within 0.8 s and after a kill; a start that cannot read the file says ready and sends.

--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -43,5 +43,53 @@
   EXPECT_TRUE(client->has("made by a worker"));
 }
 
+// What an operator was told holds while the disk fails and after; what cannot be kept is told so.
+TEST_F(UnderFaults, AnExclusionHoldsWhileTheDiskIsFullAndOverAKillLater) {
+  ProgramUnderFaults program(folder, config(), {});
+  untilReady();
+  program.faults->setDiskError(ENOSPC);
+  const std::string answer = call("exclude s-1");
+  EXPECT_EQ(answer.rfind("400", 0), 0u) << answer;
+  EXPECT_NE(answer.find("No space left on device"), std::string::npos) << answer;
+  for (int look = 0; look < 8; ++look) {
+    io.restart();
+    io.run_for(100ms);
+    ASSERT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos) << "look " << look;
+  }
+  program.faults->setDiskError(0);
+  until([&] { return call("exclude s-1").rfind("200", 0) == 0; }, "kept");
+  program.killNow();
+  program.start();
+  untilReady();
+  EXPECT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos);
+  program.faults->setDiskError(EIO);
+  EXPECT_EQ(call("include s-1").rfind("400", 0), 0u);
+  program.faults->setDiskError(0);
+  until([&] { return call("include s-1").rfind("200", 0) == 0; }, "kept");
+  program.killNow();
+  program.start();
+  untilReady();
+  EXPECT_NE(call("telemetry").find("svc.hosts_down:0|g"), std::string::npos);
+}
+
+// Nobody is sent to before it is known who is excluded.
+TEST_F(UnderFaults, AStartWaitsForExclusionsThatCannotBeReadYet) {
+  ProgramUnderFaults program(folder, config(), {});
+  untilReady();
+  EXPECT_EQ(call("exclude s-1").rfind("200", 0), 0u);
+  program.killNow();
+  program.faults->setDiskError(EIO);
+  program.start();
+  until([&] { return !call("telemetry").empty(); }, "the operators' port");
+  for (int look = 0; look < 20; ++look) {
+    io.restart();
+    io.run_for(100ms);
+    ASSERT_EQ(call("readyz").rfind("400", 0), 0u) << "look " << look;
+  }
+  program.faults->setDiskError(0);
+  untilReady();
+  EXPECT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace burlwind::test
--- a/tests/program_under_faults.hpp
+++ b/tests/program_under_faults.hpp
@@ -24,10 +24,10 @@
 // A process of the program; killed at the end of the test if it still runs.
 class ProgramUnderFaults {
  public:
-  // `folder` becomes its $TMPDIR and holds its control file.
+  // `folder` holds its configuration, its control file and its $TMPDIR.
   ProgramUnderFaults(const std::string& folder, const json& config, const SystemFaults& first)
       : folder_(folder) {
-    std::filesystem::create_directories(folder);
+    std::filesystem::create_directories(folder + "/state");
     faults.emplace(folder + "/faults", first);
     std::ofstream(folder + "/config.json") << config.dump();
     start();
@@ -45,7 +45,7 @@
     const char* options = getenv("ASAN_OPTIONS");
     setenv("ASAN_OPTIONS", (std::string(options ? options : "") + ":verify_asan_link_order=0").c_str(), 1);
     setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
-    setenv("TMPDIR", folder_.c_str(), 1);
+    setenv("TMPDIR", (folder_ + "/state").c_str(), 1);
     execl(BURLWIND_PROGRAM, BURLWIND_PROGRAM, static_cast<char*>(nullptr));
     _exit(127);
   }
--- a/tools/lab/faults/fault_library.cpp
+++ b/tools/lab/faults/fault_library.cpp
@@ -20,7 +20,9 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <initializer_list>
+#include <string>
 
 #include "fault_control.hpp"
 
@@ -65,9 +67,17 @@
   return static_cast<T>(-1);
 }
 
-bool isFile(int descriptor) {
+/// Whether it is a file below $TMPDIR, where the process keeps what outlives it.
+bool isStateFile(int descriptor) {
   struct stat info {};
-  return descriptor > STDERR_FILENO && ::fstat(descriptor, &info) == 0 && S_ISREG(info.st_mode);
+  if (descriptor <= STDERR_FILENO || ::fstat(descriptor, &info) != 0) return false;
+  if (!S_ISREG(info.st_mode) && !S_ISDIR(info.st_mode)) return false;
+  const char* folder = std::getenv("TMPDIR");
+  if (!folder) return false;
+  std::array<char, 4096> path{};
+  const std::string link = "/proc/self/fd/" + std::to_string(descriptor);
+  if (::readlink(link.c_str(), path.data(), path.size() - 1) < 0) return false;
+  return std::strncmp(path.data(), folder, std::strlen(folder)) == 0;
 }
 
 int diskError() { return control ? control->diskError.load(std::memory_order_relaxed) : 0; }
@@ -184,15 +194,15 @@
 ssize_t read(int descriptor, void* to, size_t length) {
   static const auto real = next<ssize_t(int, void*, size_t)>("read");
   if (strikes(CallFault::interrupted)) return failed<ssize_t>(EINTR);
-  if (diskError() == EIO && isFile(descriptor)) return diskFails(), failed<ssize_t>(EIO);
+  if (diskError() == EIO && isStateFile(descriptor)) return failed<ssize_t>(diskFails());
   return real(descriptor, to, length);
 }
 
 ssize_t write(int descriptor, const void* from, size_t length) {
   static const auto real = next<ssize_t(int, const void*, size_t)>("write");
-  if (!isFile(descriptor)) return real(descriptor, from, length);
+  if (descriptor <= STDERR_FILENO) return real(descriptor, from, length);
   if (strikes(CallFault::interrupted)) return failed<ssize_t>(EINTR);
-  if (diskError() == 0) return real(descriptor, from, lengthOf(length));
+  if (diskError() == 0 || !isStateFile(descriptor)) return real(descriptor, from, lengthOf(length));
   const int error = diskFails();
   // Half of what fits is written before the disk is full.
   if (length > 1 && draw() % 2 == 0) return real(descriptor, from, length / 2);
@@ -202,7 +212,7 @@
 int fsync(int descriptor) {
   static const auto real = next<int(int)>("fsync");
   if (strikes(CallFault::interrupted)) return failed<int>(EINTR);
-  if (diskError() != 0) return failed<int>(diskFails());
+  if (diskError() != 0 && isStateFile(descriptor)) return failed<int>(diskFails());
   return real(descriptor);
 }
 
