Tests: workers' starts under a wrong or stepped wall clock; three fail

Need: the wall clock may be stepped by seconds or an hour; waits and windows are spans of real time. Change: three tests of the program with the fault library stepping its wall clock. Measured on the code before: after a step back by an hour every exchange with a restarted worker closes its connection (5 for 5 requests); a start an hour behind leaves a worker cold past its warm-up (0 of 5 served); a start an hour ahead gives a worker that restarts 6 of 12 requests at once.

--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -91,5 +91,85 @@
   EXPECT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos);
 }
 
+constexpr double kHourMs = 3600 * 1000;
+
+double unixNow() {
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// The wall clock is stepped, and workers' starts are told as times of the true one.
+class UnderWrongClock : public UnderFaults {
+ protected:
+  void tell(int generation, double startedAtMs) {
+    until([&] { return !discovery.peers.empty() && discovery.peers.back()->has("\r\n\r\n"); }, "a watch");
+    const std::string line =
+        roster(generation, false, json::array({entry("s-1", worker.text(), "Ready", startedAtMs)})) + "\n";
+    std::ostringstream size;
+    size << std::hex << line.size();
+    if (generation == 2)
+      discovery.peers.back()->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    discovery.peers.back()->send(size.str() + "\r\n" + line + "\r\n");
+  }
+  void runFor(std::chrono::milliseconds span) {
+    io.restart();
+    io.run_for(span);
+  }
+  static Ask numbered(int number) {
+    Ask out;
+    out.id = "00000000000000" + std::to_string(10 + number);
+    return out;
+  }
+  // Whether a request is served; else it is refused.
+  bool served(int number) {
+    const auto client = ask(numbered(number));
+    const std::string id = "Req-Id: " + numbered(number).id;
+    until([&] { return client->has("HTTP/1.1") || worker.count(id) == 1; }, "the request's fate");
+    if (client->has("HTTP/1.1")) return false;
+    for (const auto& peer : worker.peers)
+      if (peer->has(id)) peer->send(reply("200 OK", "made by a worker"));
+    until([&] { return client->has("made by a worker"); }, "the answer");
+    return true;
+  }
+};
+
+TEST_F(UnderWrongClock, ConnectionsToARestartedWorkerAreKeptAfterAStepBack) {
+  ProgramUnderFaults program(folder, config(), {});
+  tell(2, 0);
+  untilReady();
+  program.faults->stepWallClock(-kHourMs);
+  tell(3, unixNow());
+  runFor(1500ms);  // past the warm-up
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_TRUE(served(i)) << i;
+    runFor(20ms);  // past the time in which a second answer may come
+  }
+  EXPECT_EQ(worker.peers.size(), 1u);
+}
+
+TEST_F(UnderWrongClock, AWorkerIsWarmInTimeAlthoughTheClockWasBehindAtTheStart) {
+  SystemFaults faults;
+  faults.wallOffsetMs = -kHourMs;
+  ProgramUnderFaults program(folder, config(), faults);
+  tell(2, unixNow() - 60000);
+  untilReady();
+  runFor(1500ms);
+  for (int i = 0; i < 5; ++i) EXPECT_TRUE(served(i)) << i;
+}
+
+TEST_F(UnderWrongClock, AWorkerThatStartsIsColdAlthoughTheClockWasAheadAtTheStart) {
+  SystemFaults faults;
+  faults.wallOffsetMs = kHourMs;
+  ProgramUnderFaults program(folder, config(), faults);
+  tell(2, 0);
+  untilReady();
+  tell(3, unixNow());
+  runFor(50ms);
+  std::vector<PeerPtr> asking;
+  for (int i = 0; i < 12; ++i) asking.push_back(ask(numbered(i)));
+  runFor(200ms);
+  EXPECT_LE(worker.count("Req-Id"), 4u);
+}
+
 }  // namespace
 }  // namespace burlwind::test
