Starts of workers: spans on the monotonic clock from when a start was told

Cause: a connection's openedAtMs (worker_pool.cpp) was the wall clock, compared with startedAtMs; ModuleClock was anchored once to the wall clock, and a worker's age was now - startedAtMs (gatekeeper.cpp memberOf); the file for the next process carried wall times. Change: src/watch/start_times: a start told after the first list counts from when it was told, one in the future moves the hint on, a first list has the hint's age; the pool compares monotonic times; ModuleClock is the machine's monotonic clock; legacy became handover and carries that clock's times and the corrected hint. A process that starts with its clock ahead still takes workers started just before it for older (open).

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <cstdio>
 
-#include "node/legacy.hpp"
+#include "node/handover.hpp"
 
 namespace burlwind {
 namespace {
@@ -40,9 +40,9 @@
 constexpr auto kFollowEvery = 250ms;  // between looks at what the other process of an upgrade has excluded
 // For exclusions by hand that cannot be read at the start. Longer: the platform gives a start up after 30 s.
 constexpr auto kExclusionsWithin = 20s;
-constexpr auto kLeaveEvery = 1s;      // between two writings of what the next process inherits
-constexpr Time kLegacyHolds = 30000;  // ms; older: nobody has served since
-constexpr auto kLookEvery = 20ms;     // for the first list, before connections are accepted
+constexpr auto kLeaveEvery = 1s;        // between two writings of what the next process inherits
+constexpr Time kHandoverHolds = 30000;  // ms; older: nobody has served since
+constexpr auto kLookEvery = 20ms;       // for the first list, before connections are accepted
 constexpr Time kEarlyRetry = 250;  // ms advised to what came before the first list and could not wait for it
 constexpr Time kRetireWithin = 1000;           // for what is given back to a store that is used no more
 constexpr const char* kExcluded = "excluded";  // the replicated table of workers out by hand
@@ -103,6 +103,11 @@
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
+std::chrono::steady_clock::time_point processFrom(const WorkerStart& start) {
+  if (start.processFrom <= 0) return std::chrono::steady_clock::time_point::min();
+  return ModuleClock::steady(start.processFrom);
+}
+
 }  // namespace
 
 Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
@@ -129,7 +134,7 @@
   if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this), pressure_);
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
   applyExclusions({});
-  takeLegacy();
+  takeHandover();
   Roster known;
   if (!config_.known.empty()) {
     known = parseRoster(config_.known);
@@ -153,7 +158,7 @@
   });
   if (config_.acceptFd >= 0) {
     acceptOnceReady();
-    leaveLater();
+    handOverLater();
   }
   if (!config_.stateDir.empty()) followExclusions();
   coordinate();
@@ -271,21 +276,23 @@
 }
 
 // What the next process would have to learn anew, while cold workers get next to nothing.
-void Gatekeeper::leaveLater() {
+void Gatekeeper::handOverLater() {
   leave_.expires_after(kLeaveEvery);
   leave_.async_wait([this](const Error& error) {
     if (error || draining_) return;
     const Time now = clock_.now();
-    if (const double rate = gateway_.warmRate(now); rate > 0) leave(config_.stateDir, {now, rate});
-    leaveLater();
+    leave(config_.stateDir, {now, gateway_.warmRate(now), starts_.offset()});
+    handOverLater();
   });
 }
 
-void Gatekeeper::takeLegacy() {
+void Gatekeeper::takeHandover() {
   if (config_.acceptFd < 0) return;
   const Time now = clock_.now();
-  const auto legacy = inherit(config_.stateDir);
-  if (legacy && std::abs(now - legacy->atMs) < kLegacyHolds) gateway_.knowWarmRate(now, legacy->warmRate);
+  const auto left = inherit(config_.stateDir);
+  if (!left || std::abs(now - left->at) >= kHandoverHolds) return;
+  if (left->warmRate > 0) gateway_.knowWarmRate(now, left->warmRate);
+  starts_ = StartTimes(left->clockOffset);
 }
 
 void Gatekeeper::acceptOnceReady() {
@@ -618,30 +625,35 @@
 // --- From discovery --------------------------------------------------------------------------------------
 
 // One of a zone or kind that the settings do not name is of none of theirs, also after others have come in.
-Member Gatekeeper::memberOf(const Instance& instance, const NameIndex& zones, const NameIndex& kinds) const {
+Member Gatekeeper::memberOf(const Instance& instance, const WorkerStart& start, const NameIndex& zones,
+                            const NameIndex& kinds) const {
   Member out;
   out.worker = numberOf(instance.id);
   out.phase = instance.phase;
   out.zone = zones.of(instance.zone);
   out.kind = kinds.of(instance.kind);
   out.cell = instance.cell;
-  out.started = instance.startedAtMs;
+  out.started = start.warmFrom;
   return out;
 }
 
 void Gatekeeper::told(const Roster& roster, ListKind kind) {
+  const Time now = clock_.now();
+  const bool live = listTold_ && kind != ListKind::cached;
+  for (const Instance& instance : roster.instances) starts_.hear(instance.startedAtMs, now);
   std::vector<Member> members;
   std::unordered_set<WorkerId> unnamed;
   if (kind != ListKind::delta) unnamed = listed_;
   const NameIndex zones(config_.host.zones), kinds(config_.host.kinds);
   for (const Instance& instance : roster.instances) {
-    members.push_back(memberOf(instance, zones, kinds));
+    const WorkerId worker = numberOf(instance.id);
+    const WorkerStart start = starts_.startOf(worker, instance.startedAtMs, now, live);
+    members.push_back(memberOf(instance, start, zones, kinds));
     noteNamed(instance.id);
-    const WorkerId worker = members.back().worker;
     unnamed.erase(worker);
     if (instance.phase == irisring::Phase::ready) {
       listed_.insert(worker);
-      pool_.place(worker, {instance.address, instance.startedAtMs});
+      pool_.place(worker, {instance.address, processFrom(start)});
     } else {
       pool_.retire(worker);
     }
@@ -650,7 +662,8 @@
     listed_.erase(worker);
     pool_.retire(worker);
   }
-  gateway_.members(clock_.now(), kind, members);
+  starts_.trim([this](WorkerId worker) { return listed_.contains(worker); });
+  gateway_.members(now, kind, members);
   ready_ = ready_ || !listed_.empty();
   if (kind != ListKind::cached) settle();
 }
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -17,28 +17,15 @@
 #include "node/discovery.hpp"
 #include "node/exclusions.hpp"
 #include "node/metrics.hpp"
+#include "node/module_clock.hpp"
 #include "node/name_index.hpp"
 #include "node/ops_server.hpp"
 #include "node/worker_pool.hpp"
 #include "replica/replica_node.hpp"
+#include "watch/start_times.hpp"
 
 namespace burlwind {
 
-// The module's one clock: it counts with the steady clock from the Unix time of its making, so that it never
-// steps and a worker's start, told in Unix time, is on it as it is.
-class ModuleClock {
- public:
-  irisring::Time now() const {
-    const std::chrono::duration<double, std::milli> passed = std::chrono::steady_clock::now() - steady_;
-    return unix_ + passed.count();
-  }
-
- private:
-  const std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
-  const double unix_ =
-      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
-};
-
 class Gatekeeper : private irisring::Actions, private RequestHandler, private Operated {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
@@ -106,7 +93,8 @@
   void settle();
   void settleOnce();
   bool renumber(irisring::Request& request, const NameIndex& classes, const NameIndex& plans) const;
-  irisring::Member memberOf(const Instance& instance, const NameIndex& zones, const NameIndex& kinds) const;
+  irisring::Member memberOf(const Instance& instance, const WorkerStart& start, const NameIndex& zones,
+                            const NameIndex& kinds) const;
   void ended(AttemptEnd&& end);
   void expire(irisring::RequestId id);
   void giveUpAll();
@@ -123,8 +111,8 @@
   ByHand setByHand(const std::string& id, bool excluded);
   void applyExclusions(const std::set<std::string>& before);
   void noteNamed(const std::string& id);
-  void leaveLater();
-  void takeLegacy();
+  void handOverLater();
+  void takeHandover();
   void reportLater();
   void report();
   AttemptBytes attemptBytes(irisring::RequestId id, Held& held, irisring::Time wait);
@@ -137,7 +125,8 @@
 
   boost::asio::io_context& io_;
   Config config_;
-  const ModuleClock clock_;
+  const ModuleClock clock_{};
+  StartTimes starts_{clock_.wallOffset()};
   BackPressure pressure_;
   WorkerPool pool_;
   ClientServer server_;
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -57,11 +57,6 @@
   return busy && view(answer["Srv-Declined"]) == "1" ? Result::full : Result::error;
 }
 
-double unixNow() {
-  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 // One connection. While an attempt is out a read is pending, which brings the answer. While none is, only the
@@ -72,7 +67,6 @@
   Connection(WorkerPool& pool, WorkerId to, const tcp::endpoint& at)
       : worker(to),
         address(at),
-        openedAtMs(unixNow()),
         pool_(pool),
         room_(pool.pressure_.ledger().open(Account::workers)),
         socket_(pool.io_),
@@ -80,7 +74,7 @@
 
   const WorkerId worker;
   const tcp::endpoint address;
-  const double openedAtMs;
+  const Clock::time_point openedAt = Clock::now();
   std::optional<std::list<Shared>::iterator> placeInIdle;  // in the pool's list of idle connections
 
   // Whether there is room for an attempt of these bytes here.
@@ -482,7 +476,7 @@
 
 void WorkerPool::place(WorkerId id, const Place& place) {
   Worker& worker = workers_[id];
-  const bool restarted = place.startedAtMs > worker.place.startedAtMs;
+  const bool restarted = place.processFrom > worker.place.processFrom;
   if (restarted || place.address != worker.place.address) closeIdle(worker);
   // Who listens at the address that the worker has left is anybody's guess.
   if (place.address != worker.place.address)
@@ -493,7 +487,7 @@
   worker.retired = false;
   if (!restarted) return;
   // The process that these attempts went to is no more, whether or not its machine has said so.
-  endThose(worker, [&](const Connection& connection) { return connection.openedAtMs < place.startedAtMs; });
+  endThose(worker, [&](const Connection& connection) { return connection.openedAt < place.processFrom; });
 }
 
 // Attempts that have written nothing end as connections that never came up; others as resets.
@@ -647,7 +641,7 @@
   const auto found = workers_.find(connection->worker);
   const bool wanted = found != workers_.end() && !found->second.retired &&
                       found->second.place.address == connection->address &&
-                      found->second.place.startedAtMs <= connection->openedAtMs &&
+                      found->second.place.processFrom <= connection->openedAt &&
                       found->second.idle.size() < limits_.idlePerWorker;
   if (!wanted) return drop(*connection);
   found->second.idle.push_back(connection);
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -53,7 +53,8 @@
   };
   struct Place {
     boost::asio::ip::tcp::endpoint address;
-    double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
+    // Of the worker's last start: connections opened before went to an earlier process.
+    std::chrono::steady_clock::time_point processFrom = std::chrono::steady_clock::time_point::min();
   };
   using Ended = std::function<void(AttemptEnd&&)>;
   // Of what is passed on as it comes.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -275,7 +275,7 @@
   EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
   EXPECT_EQ(pool->connections(), 0u);
   EXPECT_EQ(worker.count("Req-Id"), 0u);
-  pool->place(1, {worker.address(), 0});
+  pool->place(1, {worker.address()});
   start(2);
   untilSeen(1);
   pool->retire(1);  // out already: it goes on
@@ -311,7 +311,8 @@
   open({});
   start(1);
   untilSeen(1);
-  pool->place(1, {worker.address(), 4e12});  // started after this connection was opened
+  pool->place(1, {worker.address(),
+                  std::chrono::steady_clock::now() + 1h});  // started after this connection was opened
   EXPECT_TRUE(ends.empty());
   untilEnds(1);
   EXPECT_EQ(ends[0].outcome.result, Result::reset);
@@ -326,7 +327,7 @@
   std::vector<std::unique_ptr<Listener>> others;
   for (irisring::WorkerId id = 10; id < 18; ++id) {
     others.push_back(std::make_unique<Listener>(io));
-    pool->place(id, {others.back()->address(), 0});
+    pool->place(id, {others.back()->address()});
     pool->start(static_cast<irisring::RequestId>(id), 0, id, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});
     until([&] { return others.back()->count("\r\n\r\n") == 1; }, "a request");
     others.back()->peers[0]->send(reply("200 OK", ""));
@@ -348,7 +349,7 @@
   limits.total = 0;
   const double factor = growth::between(500, [&](std::size_t n) {
     open(limits);
-    for (std::size_t i = 0; i < n; ++i) pool->place(1000 + i, {worker.address(), 0});
+    for (std::size_t i = 0; i < n; ++i) pool->place(1000 + i, {worker.address()});
     const double before = growth::processorTime();
     for (std::size_t i = 0; i < n; ++i) start(static_cast<irisring::RequestId>(i + 1));
     return growth::processorTime() - before;
@@ -360,12 +361,12 @@
 TEST_F(Pool, ARestartEndsTheAttemptsOfItsWorkerAlone) {
   Listener other{io};
   open({});
-  pool->place(2, {other.address(), 0});
+  pool->place(2, {other.address()});
   start(1);
   pool->start(2, 0, 2, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});
   untilSeen(1);
   until([&] { return other.count("\r\n\r\n") == 1; }, "a request at the other");
-  pool->place(1, {worker.address(), 4e12});
+  pool->place(1, {worker.address(), std::chrono::steady_clock::now() + 1h});
   untilEnds(1);
   EXPECT_EQ(ends[0].outcome.id, 1u);
   EXPECT_EQ(ends[0].outcome.result, Result::reset);
@@ -386,7 +387,7 @@
   EXPECT_EQ(ends[0].outcome.result, Result::moot);  // no fault of the worker's
   EXPECT_EQ(pool->shortHere(), 1u);
   Listener second(io);
-  pool->place(2, {second.address(), 0});
+  pool->place(2, {second.address()});
   untilSeen(1);
   worker.peers[0]->send(reply("200 OK", ""));
   untilEnds(2);
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -8,7 +8,7 @@
 #include "loopback.hpp"
 #include "node/answer_lines.hpp"
 #include "node/exclusions.hpp"
-#include "node/legacy.hpp"
+#include "node/handover.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -250,12 +250,14 @@
 
 TEST_F(Ops, WhatIsLeftForTheNextProcessIsReadBackOrNotThere) {
   EXPECT_FALSE(inherit(folder));
-  leave(folder, {1e12, 0.01});
+  leave(folder, {1e12, 0.01, -5e11});
   ASSERT_TRUE(inherit(folder));
   EXPECT_EQ(inherit(folder)->warmRate, 0.01);
-  for (const char* damage : {"", "{", "[]", "{\"atMs\":1}", "{\"atMs\":1,\"warmRate\":-1}",
-                             "{\"atMs\":1,\"warmRate\":\"much\"}"}) {
-    std::ofstream(folder + "/burlwind-legacy.json") << damage;
+  EXPECT_EQ(inherit(folder)->clockOffset, -5e11);
+  for (const char* damage :
+       {"", "{", "[]", "{\"at\":1}", "{\"at\":1,\"warmRate\":-1,\"clockOffset\":0}",
+        "{\"at\":1,\"warmRate\":\"much\",\"clockOffset\":0}", "{\"at\":1,\"warmRate\":1}"}) {
+    std::ofstream(folder + "/burlwind-handover.json") << damage;
     EXPECT_FALSE(inherit(folder)) << damage;
   }
 }
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -94,7 +94,7 @@
 
 TEST_F(PoolRaces, AnAttemptOnItsWayToAnAddressThatTheWorkerHasLeftEnds) {
   start(1);
-  pool->place(1, {other.address(), 0});
+  pool->place(1, {other.address()});
   untilEnds(1);
   EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
   start(2);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -14,6 +14,7 @@
 #include "growth.hpp"
 #include "node/name_index.hpp"
 #include "watch/list.hpp"
+#include "watch/start_times.hpp"
 
 namespace burlwind {
 namespace {
@@ -358,5 +359,41 @@
   EXPECT_LT(factor, growth::kMost);
 }
 
+// The monotonic clock stands at `told` when a list comes, and the true Unix time is `kUnix` more.
+constexpr double kUnix = 1.7e12, kHour = 3600 * 1000;
+
+TEST(Starts, AStartToldLiveCountsFromWhenItWasToldWhateverTheWallClockSaid) {
+  for (const double wrong : {0.0, 2000.0, -2000.0, kHour, -kHour}) {
+    StartTimes starts(-kUnix - wrong);  // the wall clock is ahead by `wrong`
+    starts.hear(kUnix + 5000, 5300);
+    const WorkerStart start = starts.startOf(1, kUnix + 5000, 5300, true);
+    EXPECT_EQ(start.warmFrom, 5300) << wrong;
+    EXPECT_LE(start.processFrom, 5300) << wrong;
+    EXPECT_GE(start.processFrom, 5300 - StartTimes::kMostDelay) << wrong;
+    EXPECT_EQ(starts.startOf(1, kUnix + 5000, 90000, true).warmFrom, 5300) << "the same start, told again";
+  }
+  StartTimes right(-kUnix);
+  EXPECT_EQ(right.startOf(1, kUnix + 5000, 5300, true).processFrom, 5000);
+}
+
+TEST(Starts, OnTheFirstListTheHintHoldsAndAStartInTheFutureMovesItOn) {
+  StartTimes right(-kUnix);
+  EXPECT_EQ(right.startOf(1, kUnix - 4000, 100, false).warmFrom, -4000);
+  EXPECT_EQ(right.startOf(2, 0, 100, false).warmFrom, 0);
+  StartTimes behind(-kUnix + kHour);
+  behind.hear(kUnix - 60000, 100);
+  behind.hear(kUnix - 1000, 100);
+  EXPECT_EQ(behind.startOf(1, kUnix - 1000, 100, false).warmFrom, 100);  // the youngest: as if just started
+  EXPECT_EQ(behind.startOf(2, kUnix - 60000, 100, false).warmFrom, 100 - 59000);
+  EXPECT_EQ(behind.offset(), 100 - (kUnix - 1000));
+}
+
+TEST(Starts, WorkersThatAreNoLongerListedAreForgottenPastTheMost) {
+  StartTimes starts(-kUnix);
+  for (std::size_t i = 0; i <= StartTimes::kMostHeld; ++i) starts.startOf(i, kUnix, 0, false);
+  starts.trim([](irisring::WorkerId worker) { return worker < 10; });
+  EXPECT_EQ(starts.held(), 10u);
+}
+
 }  // namespace
 }  // namespace burlwind
--- a/tests/worker_pool_fixture.hpp
+++ b/tests/worker_pool_fixture.hpp
@@ -22,7 +22,7 @@
       ends.push_back(std::move(end));
       if (const auto then = std::exchange(onEnd, nullptr)) then();
     });
-    pool->place(1, {worker.address(), 0});
+    pool->place(1, {worker.address()});
   }
 
   // Starts the first attempt of request `id` at worker 1.
