--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -440,5 +440,59 @@
   until([&] { return done; }, "the drain's end");
 }
 
+// A worker whose machine takes no more connections for a while: its queue is full until `accept`.
+class SlowToConnect {
+ public:
+  explicit SlowToConnect(asio::io_context& io) : acceptor_(io), first_(io), second_(io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    acceptor_.listen(0);
+    first_.connect(acceptor_.local_endpoint());
+  }
+  std::string text() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+  // Takes what waits and all that comes; the machine of the one that waits tries again after a second.
+  void accept() {
+    acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+      if (error) return;
+      peers.push_back(std::make_shared<Peer>(std::move(socket)));
+      peers.back()->read();
+      accept();
+    });
+  }
+  std::vector<PeerPtr> peers;
+
+ private:
+  tcp::acceptor acceptor_;
+  tcp::socket first_, second_;
+};
+
+// What the worker is told is what its client has left when the request is written, not when the connection to
+// the worker was asked for.
+TEST_F(Gate, TheDeadlinePassedOnIsWhatIsLeftOnceALateConnectionIsUp) {
+  SlowToConnect slow(io);
+  open(json::array({entry("s-1", slow.text())}));
+  until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
+  discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  tell(1, json::array());
+  until([&] { return node->ready(); }, "ready");
+  Ask what;
+  what.deadline = "4000";
+  const auto asked = std::chrono::steady_clock::now();
+  const auto client = ask(what);
+  io.restart();
+  io.run_for(std::chrono::milliseconds(300));
+  slow.accept();
+  const std::string name = "Req-Deadline-Ms: ";
+  const auto passedOn = [&] {
+    return std::find_if(slow.peers.begin(), slow.peers.end(),
+                        [&](const PeerPtr& peer) { return peer->has(name) && peer->has("\r\n\r\n"); });
+  };
+  until([&] { return passedOn() != slow.peers.end(); }, "a request at the worker");
+  const std::chrono::duration<double, std::milli> passed = std::chrono::steady_clock::now() - asked;
+  ASSERT_GT(passed.count(), 500) << "the connection came up at once";
+  const std::string& got = (*passedOn())->got;
+  EXPECT_LE(std::stod(got.substr(got.find(name) + name.size())), 4000 - passed.count() + 150);
+}
+
 }  // namespace
 }  // namespace burlwind::test
