--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "loopback.hpp"
 #include "node/discovery.hpp"
@@ -449,6 +450,18 @@
   EXPECT_EQ(handler.turned, 0);
 }
 
+// Its place is wanted in the turn in which its request comes: what has been sent is answered.
+TEST_F(Overflow, ARequestThatCrossesTheEndOfItsOverflowPlaceIsAnswered) {
+  const auto first = dial(server->address()), second = dial(server->address());
+  until([&] { return server->connections() == 32; }, "both on overflow");
+  std::this_thread::sleep_for(limits.overflowLeast + 20ms);
+  const auto third = dial(server->address());
+  first->send(Ask().text());
+  until([&] { return first->ended; }, "its end");
+  EXPECT_TRUE(first->has("HTTP/1.1 503")) << first->got;
+  until([&] { return second->ended && third->ended; }, "an end for the silent ones");
+}
+
 TEST(PiledLists, SayTheLatestOfEachWorker) {
   const auto list = [](int generation, bool reset, const json& entries) {
     return parseRoster(roster(generation, reset, entries));
