Sending through one guard: what goes to a worker is made when it can be written; invariants counted

Cause: attemptBytes made the head with its deadline before the connection was up (gatekeeper.cpp send), so that a late connection passed on up to dialTimeout too much, and only the client was asked again (wanted). At an overflow place makeOverflowRoom closed over bytes that no handler had seen (client_server.cpp). Every close of a client's connection has a typed reason (svc.close.NAME); one over a request is a violation. An overflow place that has bytes unread or half a request is answered before it gives way.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -32,6 +32,10 @@
   return http::status::bad_request;
 }
 
+CloseReason reasonOf(const Error& error) {
+  return error == asio::error::eof ? CloseReason::peer_ended : CloseReason::peer_broken;
+}
+
 }  // namespace
 
 void ClientServer::Connection::start() {
@@ -101,7 +105,7 @@
   if (state_ != State::streaming) return;
   Error ignored;
   if (!delimited_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  close();
+  close(CloseReason::answer_cut);
 }
 
 void ClientServer::Connection::pull(TakePiece take) {
@@ -113,15 +117,23 @@
   asio::post(socket_.get_executor(), guard0([this] { offer(); }));
 }
 
-void ClientServer::Connection::close() {
+void ClientServer::Connection::close(CloseReason reason) {
   if (state_ == State::closed) return;
   const bool held = state_ == State::held || state_ == State::streaming;
+  server_.closes_.add(reason);
+  if (owesAnswer() && !isPeers(reason) && reason != CloseReason::answer_cut)
+    server_.handler_.closedUnanswered(reason);
   abandon();
   const auto self = shared_from_this();
   server_.remove(self);
   if (held) server_.handler_.left(id_);
 }
 
+// Part of a request was read, and nothing of its answer is on its way.
+bool ClientServer::Connection::owesAnswer() const {
+  return state_ == State::held || state_ == State::streaming || (state_ == State::reading && begun());
+}
+
 void ClientServer::Connection::abandon() {
   state_ = State::closed;
   leaveOrder();
@@ -148,7 +160,7 @@
 }
 
 void ClientServer::Connection::endRest() {
-  if (first_) return close();  // nothing was ever written that a reset could take back
+  if (first_) return close(CloseReason::idle);  // nothing was ever written that a reset could take back
   if (!overflow_) server_.ending_.append(*this);
   linger();
 }
@@ -161,7 +173,7 @@
 }
 
 void ClientServer::Connection::leave() {
-  if (state_ == State::held) close();
+  if (state_ == State::held) close(CloseReason::peer_ended);
 }
 
 void ClientServer::Connection::arm(std::chrono::milliseconds span) {
@@ -186,7 +198,9 @@
   if (state_ == State::answering) turnAway(WaitAt::answerWrite);
   if (state_ == State::reading && unread()) return;  // its handler comes next
   if (state_ == State::reading) return endRest();
-  if (state_ != State::held) close();
+  if (state_ == State::lingering) return close(CloseReason::last_answer);
+  if (state_ == State::skipping) return close(CloseReason::body_timeout);
+  if (state_ != State::held) close(CloseReason::write_timeout);
 }
 
 void ClientServer::Connection::noRoom(WaitAt place) {
@@ -199,6 +213,12 @@
   reject(kNoRoom, server_.turnedAwayFor());
 }
 
+void ClientServer::Connection::giveWay() {
+  if (!begun()) return close(CloseReason::evicted_silent);
+  leaveOrder();  // ends by itself, once its answer is taken
+  noRoom(WaitAt::noRoom);
+}
+
 void ClientServer::Connection::tooSlow() {
   server_.handler_.left(id_);
   bodyDone_ = true;  // nothing more of it is waited for
@@ -261,7 +281,7 @@
                            error ? 0
                                  : readSome(socket_, in_.prepare(inBody_ ? kStreamStep : kReadStep), error);
                        if (error == asio::error::would_block) return read();
-                       if (error) return close();
+                       if (error) return close(reasonOf(error));
                        in_.commit(n);
                        if (state_ == State::reading || !bodyDone_) requestBytes_ += n;
                        if (state_ == State::lingering && !discard()) return;
@@ -286,7 +306,7 @@
 }
 
 void ClientServer::Connection::look() {
-  if (state_ != State::closed && !reading_ && tcpTells_ && hasLeft(socket_)) close();
+  if (state_ != State::closed && !reading_ && tcpTells_ && hasLeft(socket_)) close(CloseReason::peer_ended);
 }
 
 bool ClientServer::Connection::wantsMore() const {
@@ -310,7 +330,7 @@
   Error error;
   bodyDone_ = feed(*parser_, in_, error);
   if (error) {
-    if (state_ != State::held) return close();
+    if (state_ != State::held) return close(CloseReason::malformed_body);
     server_.handler_.left(id_);
     bodyDone_ = last_ = true;
     return reject({statusOf(error), "malformed request"});
@@ -464,7 +484,7 @@
   asyncWriteAll(
       socket_, asio::buffer(writing_), [self = shared_from_this(), this] { return state_ != State::closed; },
       [self = shared_from_this(), this](const Error& error) {
-        if (error) return close();
+        if (error) return close(reasonOf(error));
         written();
       });
 }
@@ -519,7 +539,7 @@
     room_.shrinkTo(cost(0));
   }
   if (discarded_ <= server_.limits_.lingerBytes) return true;
-  close();
+  close(CloseReason::sends_on);
   return false;
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -65,7 +65,7 @@
   Clock::time_point openedAt() const { return openedAt_; }
   Clock::time_point idleSince() const { return idleSince_; }
 
-  void close();
+  void close(CloseReason reason);
 
   // Ends it and tells nobody.
   void abandon();
@@ -74,6 +74,9 @@
   // first.
   void finishUp();
 
+  // Heard beyond the limit, and another one comes: turned away with an answer if it has begun to speak.
+  void giveWay();
+
   // Whether something has come that no handler has seen yet.
   bool unread();
 
@@ -92,6 +95,7 @@
   void wait(WaitAt place) { waiting_.enter(server_.pressure_.places(), place, BackPressure::now()); }
   void turnAway(WaitAt place) { server_.pressure_.places().turnAway(place); }
 
+  bool owesAnswer() const;
   void arm(std::chrono::milliseconds span);
   void expire();
   void noRoom(WaitAt place);
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -17,6 +17,7 @@
 
 constexpr double kLeastAway = 250;   // ms advised where the pressure is expected to be over sooner
 constexpr auto kAcceptPause = 50ms;  // after an accept that failed for want of descriptors
+constexpr auto kUnreadPause = 1ms;   // for the handler of what has come on a connection that is to give way
 constexpr auto kStopPause = 10ms;    // the same where the listener is about to close
 
 // Whether accept failed for want of something that this machine has to have free again first: the connection
@@ -213,8 +214,15 @@
     });
     return false;
   }
+  if (oldest->unread()) {  // its handler comes next, and it is answered there
+    overflowTimer_.expires_after(kUnreadPause);
+    overflowTimer_.async_wait([this](const Error& error) {
+      if (!error && noRoom_.in(WaitAt::noRoom)) accept();
+    });
+    return false;
+  }
   pressure_.places().turnAway(WaitAt::noRoom);
-  oldest->close();  // goes on to accept by itself
+  oldest->giveWay();  // goes on to accept by itself
   return false;
 }
 
@@ -255,13 +263,13 @@
 // are no request. So the kernel is asked of each connection once for each time that it turns idle.
 bool ClientServer::closeLeastRecentlyUsed() {
   if (const auto ending = static_cast<Connection*>(ending_.oldest())) {
-    ending->close();
+    ending->close(CloseReason::evicted);
     return true;
   }
   while (const auto oldest = static_cast<Connection*>(idle_.oldest())) {
     oldest->leaveOrder();
     if (oldest->unread()) continue;
-    oldest->close();
+    oldest->close(CloseReason::evicted);
     return true;
   }
   return false;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -17,6 +17,7 @@
 
 #include "node/back_pressure.hpp"
 #include "node/call.hpp"
+#include "node/close_reason.hpp"
 #include "node/connection_order.hpp"
 #include "node/http.hpp"
 
@@ -71,6 +72,8 @@
   virtual void left(irisring::RequestId id) = 0;
   // One of this class was refused before it could be held.
   virtual void turnedAway(unsigned klass) = 0;
+  // A connection was closed over a request that was read and not answered, and its client was still there.
+  virtual void closedUnanswered(CloseReason reason) = 0;
 };
 
 class ClientServer {
@@ -123,6 +126,7 @@
   // Under pressure: closes what has been idle for long enough.
   void trimIdle();
   Stats takeStats() { return std::exchange(stats_, {}); }
+  const CloseCounts& closes() const { return closes_; }
 
   // From here on every answer ends its connection.
   void beginDrain() { draining_ = true; }
@@ -178,6 +182,7 @@
   bool overflowOpen_ = false;
   std::function<void()> done_;
   Stats stats_;
+  CloseCounts closes_;
   mutable std::mt19937_64 chance_;  // for advice on when to come back; from the configured seed
   bool open_ = false;               // connections may come in
   bool accepting_ = false;          // an accept is pending
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -46,6 +46,9 @@
 constexpr Time kEarlyRetry = 250;  // ms advised to what came before the first list and could not wait for it
 constexpr Time kRetireWithin = 1000;           // for what is given back to a store that is used no more
 constexpr const char* kExcluded = "excluded";  // the replicated table of workers out by hand
+// Bytes of an attempt beside its client's header and body: the request line, the fields that are set here, a
+// chunk's frame; and of each field beside its name and value.
+constexpr std::size_t kOwnFields = 160, kFieldFrame = 4;
 constexpr std::size_t kMostNamed = 8192, kMostClasses = 512;
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -103,6 +106,17 @@
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
+invariant::RequestState stateOf(http::status status) {
+  if (status == http::status::ok) return invariant::RequestState::answered;
+  const bool refused =
+      status == http::status::too_many_requests || status == http::status::service_unavailable;
+  return refused ? invariant::RequestState::refused : invariant::RequestState::failed;
+}
+
+invariant::WorkerRules workerRules(const irisring::Settings& settings) {
+  return {settings.drainGrace, settings.fallMultiple, settings.coldFrom, settings.fallSpan, settings.warmUp};
+}
+
 std::chrono::steady_clock::time_point processFrom(const WorkerStart& start) {
   if (start.processFrom <= 0) return std::chrono::steady_clock::time_point::min();
   return ModuleClock::steady(start.processFrom);
@@ -118,6 +132,8 @@
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), *this, pressure_),
       gateway_(config.settings, config.seed, clock_.now(), *this),
+      monitor_([](const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); },
+               [this] { return gateway_.warmRate(clock_.now()); }),
       exclusions_(config.stateDir),
       settle_(io),
       drain_(io),
@@ -133,6 +149,7 @@
                   [this](double excess) { pressed(excess); });
   if (config_.ops) ops_.emplace(io, OpsServer::Limits{}, static_cast<Operated&>(*this), pressure_);
   for (const std::string& name : config_.host.classes) metrics_.classes.try_emplace(name);
+  monitor_.rules(workerRules(config_.settings));
   applyExclusions({});
   takeHandover();
   Roster known;
@@ -202,7 +219,8 @@
   figures.attempts = pool_.attemptsWritten();
   figures.shortHere = pool_.shortHere();
   return telemetryText(figures, {held_.size(), census.listed, census.avoided},
-                       pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : "") +
+                       monitor_.telemetry() + server_.closes().telemetry() + sendRefusals_.telemetry() +
+                           pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : "") +
                            (replica_ ? replica_->telemetry() : ""));
 }
 
@@ -251,11 +269,19 @@
   const Time now = clock_.now();
   for (const std::string& id : exclusions_.ids()) {
     if (before.contains(id)) continue;
-    gateway_.exclude(now, numberOf(id));
-    pool_.quiet(numberOf(id));
+    const WorkerId worker = numberOf(id);
+    gateway_.exclude(now, worker);
+    pool_.quiet(worker);
+    excluded_.insert(worker);
+    monitor_.workerExcluded(worker, now);
+  }
+  for (const std::string& id : before) {
+    if (exclusions_.ids().contains(id)) continue;
+    const WorkerId worker = numberOf(id);
+    excluded_.erase(worker);
+    monitor_.workerIncluded(worker);
+    gateway_.include(now, worker);
   }
-  for (const std::string& id : before)
-    if (!exclusions_.ids().contains(id)) gateway_.include(now, numberOf(id));
 }
 
 // The other process of an upgrade may be the one that operators call; and what could not be kept is tried
@@ -281,7 +307,7 @@
   leave_.async_wait([this](const Error& error) {
     if (error || draining_) return;
     const Time now = clock_.now();
-    leave(config_.stateDir, {now, gateway_.warmRate(now), starts_.offset()});
+    burlwind::leave(config_.stateDir, {now, gateway_.warmRate(now), starts_.offset()});
     handOverLater();
   });
 }
@@ -385,6 +411,7 @@
   gateway_.settings(clock_.now(), settings);
   early_ = std::move(early);
   config_.settings = std::move(settings);
+  monitor_.rules(workerRules(config_.settings));
   config_.host = std::move(host);
   config_.keys = config.keys;
   config_.discovery = config.discovery;
@@ -434,19 +461,30 @@
     if (error) return;
     if (!handedOn) server_.stopAccepting();
     server_.finishUp();
-    server_.whenEmpty(done);
+    server_.whenEmpty([this, done] { finishDrain(done); });
     drain_.expires_at(term + span(end + kAnswerSlack));
     drain_.async_wait([this, term, end, done](const Error& late) {
       if (late) return;
       giveUpAll();
       drain_.expires_at(term + span(end + kEndSlack));
-      drain_.async_wait([done](const Error& stopped) {
-        if (!stopped) done();
+      drain_.async_wait([this, done](const Error& stopped) {
+        if (!stopped) finishDrain(done);
       });
     });
   });
 }
 
+// The process ends: whatever is still held is owed.
+void Gatekeeper::finishDrain(const std::function<void()>& done) {
+  const Time now = clock_.now();
+  for (auto& [id, held] : held_)
+    if (!held.answering) monitor_.forgotten(held.trace, now);
+  if (server_.connections() == 0)
+    monitor_.accounts(held_.size(), std::to_string(held_.size()) + " requests held without a connection",
+                      now);
+  done();
+}
+
 // --- From the clients ------------------------------------------------------------------------------------
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
@@ -458,6 +496,13 @@
   held.responder = responder;
   held.patience = std::max(0.0, call.patience - kWayBack);
   held.streamed = !call.whole;
+  const irisring::ClassSettings& klass = config_.settings.classes[call.klass];
+  held.trace.name = std::string(view(held.message["Req-Id"]));
+  held.trace.repeat = klass.repeat;
+  held.trace.window = klass.window;
+  held.trace.cap = config_.settings.maxAttempts;
+  held.trace.deadline = now + call.patience + (held.streamed ? kMostUpload : 0);
+  monitor_.taken(held.trace, now);
   held.length = call.length;
   // The time of one whose last byte is still to come has not begun; the clients' side bounds the wait for it.
   held.expires = now + held.patience + (held.streamed ? kMostUpload : 0);
@@ -503,6 +548,10 @@
   ++countsOf(klass).busy;
 }
 
+void Gatekeeper::closedUnanswered(CloseReason reason) {
+  monitor_.closedUnanswered(std::string(kCloseReasonNames[static_cast<std::size_t>(reason)]), clock_.now());
+}
+
 void Gatekeeper::setDeadline(RequestId id, Held& held) {
   held.deadline.expires_after(span(held.expires - clock_.now()));
   held.deadline.async_wait([this, id](const Error& error) {
@@ -510,7 +559,7 @@
   });
 }
 
-void Gatekeeper::pull(RequestId id, AttemptBytes::Take take) {
+void Gatekeeper::pull(RequestId id, AttemptRequest::Take take) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   found->second.pulled = true;
@@ -526,6 +575,7 @@
 void Gatekeeper::becameWhole(RequestId id, Held& held) {
   const Time now = clock_.now();
   held.expires = now + held.patience;
+  held.trace.deadline = held.expires + kWayBack;
   setDeadline(id, held);
   gateway_.whole(now, id, held.expires);
 }
@@ -534,6 +584,7 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   ++found->second.counts->failure;
+  monitor_.clientLeft(found->second.trace, clock_.now());
   held_.erase(found);
   gateway_.clientLeft(clock_.now(), id);
   if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
@@ -546,6 +597,7 @@
   if (!settled_) return refuse(id, kEarlyRetry);
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     end->outcome.finished = false;
+    noteEnd(end->outcome);
     gateway_.outcome(std::max(clock_.now(), found->second.expires), end->outcome);
   }
   if (!held_.contains(id)) return;
@@ -570,8 +622,14 @@
 
 // --- From the workers ------------------------------------------------------------------------------------
 
+void Gatekeeper::noteEnd(const Outcome& outcome) {
+  const auto found = held_.find(outcome.id);
+  if (found != held_.end()) monitor_.ended(found->second.trace, outcome.worker, outcome.result, clock_.now());
+}
+
 void Gatekeeper::ended(AttemptEnd&& end) {
   Outcome& outcome = end.outcome;
+  noteEnd(outcome);
   const bool mine = held_.contains(outcome.id);
   outcome.finished = !mine || outcome.result == Result::ok;
   pressure_.activity();
@@ -594,6 +652,7 @@
   if (found == held_.end()) return;
   found->second.answering = true;
   found->second.deadline.cancel();
+  monitor_.streaming(found->second.trace, clock_.now());
   gateway_.answering(clock_.now(), id);
   found->second.responder->begin({contentType, length});
 }
@@ -612,8 +671,8 @@
   const bool whole = end.outcome.result == Result::ok;
   ++(whole ? served_ : failed_);
   ++(whole ? found->second.counts->success : found->second.counts->failure);
-  const auto responder = std::move(found->second.responder);
-  held_.erase(found);
+  const auto responder =
+      conclude(end.outcome.id, whole ? invariant::RequestState::answered : invariant::RequestState::cut);
   if (whole) {
     responder->keep(std::move(end.room));
     responder->pass(std::move(end.body), true, nullptr);
@@ -637,6 +696,13 @@
   return out;
 }
 
+// Told to drain, or gone: nothing new to it.
+void Gatekeeper::leave(WorkerId worker, irisring::Phase phase, Time now) {
+  listed_.erase(worker);
+  monitor_.workerLeaves(worker, phase, now);
+  pool_.retire(worker);
+}
+
 void Gatekeeper::told(const Roster& roster, ListKind kind) {
   const Time now = clock_.now();
   const bool live = listTold_ && kind != ListKind::cached;
@@ -653,15 +719,13 @@
     unnamed.erase(worker);
     if (instance.phase == irisring::Phase::ready) {
       listed_.insert(worker);
+      monitor_.workerReady(worker, start.warmFrom);
       pool_.place(worker, {instance.address, processFrom(start)});
     } else {
-      pool_.retire(worker);
+      leave(worker, instance.phase, now);
     }
   }
-  for (const WorkerId worker : unnamed) {
-    listed_.erase(worker);
-    pool_.retire(worker);
-  }
+  for (const WorkerId worker : unnamed) leave(worker, irisring::Phase::gone, now);
   starts_.trim([this](WorkerId worker) { return listed_.contains(worker); });
   gateway_.members(now, kind, members);
   ready_ = ready_ || !listed_.empty();
@@ -675,19 +739,43 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   Held& held = found->second;
-  const Time left = held.expires - clock_.now();
+  const Time now = clock_.now();
+  const Time left = held.expires - now;
   // A read may not have told yet, or wait for room. Its connection is ended from a handler of its own.
   const bool gone = held.responder->gone();
   if (gone) asio::post(io_, [responder = held.responder] { responder->leave(); });
   if (gone || left <= 0 || held.pulled) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
-  const Time wait = early ? timeout : left;
-  AttemptBytes bytes = attemptBytes(id, held, held.streamed ? held.patience : wait);
-  bytes.wanted = [responder = held.responder] { return !responder->gone(); };
-  pool_.start(id, held.attempts++, worker, std::move(bytes),
+  held.attemptUntil = early ? now + timeout : held.expires;
+  monitor_.connecting(held.trace, worker, now);
+  pool_.start(id, held.attempts++, worker, attemptRequest(id, held, worker),
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
+// Between the module's choice and the first byte a connection may have had to come up.
+SendRefusal Gatekeeper::refusalOf(RequestId id, WorkerId worker, Time now) const {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return SendRefusal::request_over;
+  if (found->second.responder->gone()) return SendRefusal::client_gone;
+  if (found->second.expires <= now) return SendRefusal::time_over;
+  if (!listed_.contains(worker)) return SendRefusal::worker_left;
+  if (excluded_.contains(worker)) return SendRefusal::worker_excluded;
+  return SendRefusal::none;
+}
+
+// The one place from which a request goes to a worker, in the moment in which its first byte may be written.
+std::optional<std::string> Gatekeeper::compose(RequestId id, WorkerId worker) {
+  const Time now = clock_.now();
+  const SendRefusal refusal = refusalOf(id, worker, now);
+  sendRefusals_.add(refusal);
+  if (refusal != SendRefusal::none) return std::nullopt;
+  Held& held = held_.at(id);
+  const Time left = held.streamed ? held.patience : std::min(held.attemptUntil, held.expires) - now;
+  const Time passedOn = std::max(1.0, std::floor(left));
+  monitor_.sending(held.trace, worker, now, passedOn);
+  return attemptBytes(held, passedOn);
+}
+
 // No time is left for the attempt, or its body is gone: nothing is sent, and the module learns so from a
 // handler of its own.
 void Gatekeeper::reportMoot(RequestId id, unsigned attempt, WorkerId worker) {
@@ -718,11 +806,8 @@
   dropAttempt(id);
   if (const auto found = held_.find(id); found != held_.end()) {
     ++found->second.counts->failure;
-    if (found->second.answering) {  // its client has the beginning
-      const auto responder = std::move(found->second.responder);
-      held_.erase(found);
-      return responder->cut();
-    }
+    // Its client has the beginning.
+    if (found->second.answering) return conclude(id, invariant::RequestState::cut)->cut();
   }
   answer(id, std::move(failure));
 }
@@ -737,17 +822,23 @@
 
 void Gatekeeper::log(const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); }
 
-// The final answer. What comes later for this request finds nothing.
-void Gatekeeper::answer(RequestId id, Answer&& answer) {
+// The final answer, whole or cut. What comes later for this request finds nothing.
+std::shared_ptr<Responder> Gatekeeper::conclude(RequestId id, invariant::RequestState how) {
   const auto found = held_.find(id);
-  if (found == held_.end()) return;
-  const auto responder = std::move(found->second.responder);
+  if (found == held_.end()) return nullptr;
+  monitor_.answered(found->second.trace, how, clock_.now());
+  auto responder = std::move(found->second.responder);
   held_.erase(found);
-  responder->answer(std::move(answer));
+  return responder;
+}
+
+void Gatekeeper::answer(RequestId id, Answer&& answer) {
+  const auto responder = conclude(id, stateOf(answer.status));
+  if (responder) responder->answer(std::move(answer));
 }
 
 // The client's request with the time that is left; what concerns only the client's connection stays behind.
-AttemptBytes Gatekeeper::attemptBytes(RequestId id, Held& held, Time wait) {
+std::string Gatekeeper::attemptBytes(const Held& held, Time passedOn) {
   http::request<http::empty_body> head(held.message.base());
   for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
                            http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
@@ -757,26 +848,36 @@
   const std::string_view target = view(held.message.target());
   if (const auto origin = originForm(target); origin.size() != target.size())
     head.target(std::string(origin));
-  head.set("Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait)))));
+  head.set("Req-Deadline-Ms", std::to_string(std::lround(passedOn)));
   const std::string& body = held.message.body();
-  AttemptBytes out;
+  std::string out;
   if (!held.streamed) {
     if (!body.empty() || head.method() != http::verb::get) head.content_length(body.size());
-    appendHead(out.bytes, head);
-    out.bytes += body;
-    return out;
+    appendHead(out, head);
+    return out += body;
   }
-  out.chunked = !held.length;
   if (held.length)
     head.content_length(*held.length);
   else
     head.chunked(true);
-  appendHead(out.bytes, head);
-  if (out.chunked)
-    appendChunk(out.bytes, body, false);
+  appendHead(out, head);
+  if (held.length)
+    out += body;
   else
-    out.bytes += body;
-  out.pull = [this, id](AttemptBytes::Take take) { pull(id, std::move(take)); };
+    appendChunk(out, body, false);
+  return out;
+}
+
+// The bytes are made when they can be written (`compose`).
+AttemptRequest Gatekeeper::attemptRequest(RequestId id, const Held& held, WorkerId worker) {
+  AttemptRequest out;
+  out.compose = [this, id, worker] { return compose(id, worker); };
+  out.size = kOwnFields + view(held.message.target()).size() + held.message.body().size();
+  for (const auto& field : held.message.base())
+    out.size += view(field.name_string()).size() + view(field.value()).size() + kFieldFrame;
+  if (!held.streamed) return out;
+  out.chunked = !held.length;
+  out.pull = [this, id](AttemptRequest::Take take) { pull(id, std::move(take)); };
   return out;
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "duty/coordinator.hpp"
+#include "invariant/monitor.hpp"
 #include "irisring/decide.hpp"
 #include "node/back_pressure.hpp"
 #include "node/client_server.hpp"
@@ -20,6 +21,7 @@
 #include "node/module_clock.hpp"
 #include "node/name_index.hpp"
 #include "node/ops_server.hpp"
+#include "node/send_guard.hpp"
 #include "node/worker_pool.hpp"
 #include "replica/replica_node.hpp"
 #include "watch/start_times.hpp"
@@ -62,6 +64,8 @@
     bool streamed = false;                // the body is not held whole
     bool pulled = false;                  // and what is held is no more its beginning and all that has come
     bool answering = false;               // the answer has begun to be passed on
+    irisring::Time attemptUntil = 0;      // when the attempt that is out is given up
+    invariant::RequestTrace trace;
   };
 
   // RequestHandler
@@ -70,6 +74,7 @@
             const std::shared_ptr<Responder>& responder) override;
   void left(irisring::RequestId id) override;
   void turnedAway(unsigned klass) override;
+  void closedUnanswered(CloseReason reason) override;
 
   // Operated
   bool readyToServe() const override;
@@ -90,6 +95,7 @@
   void log(const std::string& line) override;
 
   void told(const Roster& roster, irisring::ListKind kind);
+  void leave(irisring::WorkerId worker, irisring::Phase phase, irisring::Time now);
   void settle();
   void settleOnce();
   bool renumber(irisring::Request& request, const NameIndex& classes, const NameIndex& plans) const;
@@ -115,8 +121,14 @@
   void takeHandover();
   void reportLater();
   void report();
-  AttemptBytes attemptBytes(irisring::RequestId id, Held& held, irisring::Time wait);
-  void pull(irisring::RequestId id, AttemptBytes::Take take);
+  AttemptRequest attemptRequest(irisring::RequestId id, const Held& held, irisring::WorkerId worker);
+  static std::string attemptBytes(const Held& held, irisring::Time passedOn);
+  std::optional<std::string> compose(irisring::RequestId id, irisring::WorkerId worker);
+  SendRefusal refusalOf(irisring::RequestId id, irisring::WorkerId worker, irisring::Time now) const;
+  std::shared_ptr<Responder> conclude(irisring::RequestId id, invariant::RequestState how);
+  void noteEnd(const irisring::Outcome& outcome);
+  void finishDrain(const std::function<void()>& done);
+  void pull(irisring::RequestId id, AttemptRequest::Take take);
   void becameWhole(irisring::RequestId id, Held& held);
   void setDeadline(irisring::RequestId id, Held& held);
   void began(irisring::RequestId id, const std::string& contentType, std::optional<std::uint64_t> length);
@@ -134,6 +146,9 @@
   std::unordered_map<irisring::RequestId, Held> held_;
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
+  invariant::Monitor monitor_;
+  SendRefusals sendRefusals_;
+  std::unordered_set<irisring::WorkerId> excluded_;  // by hand
   std::unique_ptr<Discovery> discovery_;
   Metrics metrics_;
   ClassCounts uncounted_;  // of classes past the most that are counted
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -78,37 +78,36 @@
   std::optional<std::list<Shared>::iterator> placeInIdle;  // in the pool's list of idle connections
 
   // Whether there is room for an attempt of these bytes here.
-  bool hasRoomFor(const AttemptBytes& bytes) {
+  bool hasRoomFor(const AttemptRequest& request) {
     if (room_.bytes() < kConnection) {
       if (!room_.resize(kConnection)) return false;
       room_.fix();
     }
-    outBytes_ = bytes.bytes.size() + (bytes.pull ? kWindow : 0);
+    outBytes_ = request.size + (request.pull ? kWindow : 0);
     const Ledger& ledger = pool_.pressure_.ledger();
     const double mark = pool_.pressure_.pressure().limits().memory.high;
     if (outBytes_ > kOrdinary && !ledger.staysUnder(mark, Account::workers, outBytes_)) return false;
     return room_.resize(cost(0));
   }
 
-  void begin(RequestId id, unsigned attempt, AttemptBytes bytes, std::optional<Clock::duration> timeout) {
+  void begin(RequestId id, unsigned attempt, AttemptRequest request, std::optional<Clock::duration> timeout) {
     outcome_ = Outcome{};
     outcome_.id = id;
     outcome_.attempt = attempt;
     outcome_.worker = worker;
     startedAt_ = Clock::now();
     timeout_ = timeout;
-    out_ = std::move(bytes.bytes);
-    pull_ = std::move(bytes.pull);
-    chunked_ = bytes.chunked;
+    compose_ = std::move(request.compose);
+    pull_ = std::move(request.pull);
+    chunked_ = request.chunked;
     giveUpAt_ = timeout && !pull_ ? startedAt_ + *timeout : Clock::time_point::max();
     written_ = streaming_ = false;
-    wanted_ = std::move(bytes.wanted);
     busy_ = true;
     freshParser();
     wait(up_ ? WaitAt::attemptOut : WaitAt::connecting);
     if (!up_) return connect();
     settling_ = !settled();
-    if (!settling_) return write();
+    if (!settling_) return composeAndWrite();
     arm(std::min(giveUpAt_, restedAt_ + kSettle));
   }
 
@@ -150,7 +149,7 @@
   void close() {
     markEnded();
     pull_ = nullptr;
-    wanted_ = nullptr;
+    compose_ = nullptr;
     waiting_.leave();
     paused_.clear();
     room_.release();
@@ -194,7 +193,7 @@
     const bool over = Clock::now() >= giveUpAt_;
     if (busy_ && settling_ && !over) {
       settling_ = false;
-      return writeIfWanted();
+      return composeAndWrite();
     }
     if (busy_) {
       const WaitAt place = pull_ ? WaitAt::bodyWindow : up_ ? WaitAt::attemptOut : WaitAt::connecting;
@@ -218,20 +217,27 @@
                             up_ = true;
                             wait(WaitAt::attemptOut);
                             read();
-                            writeIfWanted();
+                            composeAndWrite();
                           }));
   }
 
-  // The client may have gone while the connection came up.
-  void writeIfWanted() {
-    if (wanted_ && !wanted_()) return end(Result::connectFailed);
-    write();
+  // What is sent is made now: the client may have gone, or less of its time may be left, since the connection
+  // was asked for. Nothing may be sent: the attempt ends by a handler of its own, since the module may be in
+  // the middle of asking for it.
+  void composeAndWrite() {
+    std::optional<std::string> bytes = std::exchange(compose_, nullptr)();
+    if (bytes) {
+      out_ = std::move(*bytes);
+      return write();
+    }
+    asio::post(pool_.io_, [self = shared_from_this(), this, id = outcome_.id] {
+      if (!ended() && busy_ && outcome_.id == id) end(Result::connectFailed);
+    });
   }
 
   void write() {
     arm(pull_ ? Clock::now() + pool_.limits_.silentFor : giveUpAt_);
     sent_ = 0;
-    wanted_ = nullptr;  // asked for the last time; a connection that rests holds no client's
     writeOn();
   }
 
@@ -443,8 +449,8 @@
   beast::flat_buffer in_;
   std::optional<http::response_parser<WindowBody>> parser_;
   std::string out_;
-  std::function<void(AttemptBytes::Take)> pull_;  // the rest of the body
-  std::function<bool()> wanted_;
+  std::function<void(AttemptRequest::Take)> pull_;       // the rest of the body
+  std::function<std::optional<std::string>()> compose_;  // until the first byte is written
   std::optional<Clock::duration> timeout_;
   Outcome outcome_;
   Clock::time_point startedAt_, giveUpAt_, restedAt_;
@@ -529,7 +535,7 @@
   connection->resume();
 }
 
-void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, AttemptBytes bytes,
+void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, AttemptRequest request,
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
   Shared connection;
@@ -545,8 +551,8 @@
     }
   }
   if (connection) {
-    shortHere = !connection->hasRoomFor(bytes);
-    while (shortHere && dropOldestIdle()) shortHere = !connection->hasRoomFor(bytes);
+    shortHere = !connection->hasRoomFor(request);
+    while (shortHere && dropOldestIdle()) shortHere = !connection->hasRoomFor(request);
     if (shortHere) {
       drop(*connection);
       connection.reset();
@@ -566,7 +572,7 @@
     return report(outcome);
   }
   addBusy(id, connection);
-  connection->begin(id, attempt, std::move(bytes), timeout);
+  connection->begin(id, attempt, std::move(request), timeout);
 }
 
 std::optional<AttemptEnd> WorkerPool::giveUp(RequestId id, Result result) {
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -32,14 +32,16 @@
   Ledger::Charge room;  // of the body
 };
 
-// What goes out: head and body in one, or their beginning and where the rest of the body comes from.
-struct AttemptBytes {
+/// What an attempt sends: its head with the body, or with the body's beginning and where the rest comes from.
+struct AttemptRequest {
   using Take = std::function<void(std::string&& piece, bool last)>;
 
-  std::string bytes;
-  std::function<void(Take)> pull;  // none: the bytes are all
-  bool chunked = false;            // how the rest is framed
-  std::function<bool()> wanted{};  // asked where sending has had to wait; none: always
+  /// Called once, in the moment in which the first byte may be written: the one place from which anything is
+  /// sent to a worker. None: nothing may be sent any more, and the attempt ends as one that never was.
+  std::function<std::optional<std::string>()> compose;
+  std::size_t size = 0;            ///< bytes that `compose` gives at most: what memory is charged with
+  std::function<void(Take)> pull;  ///< none: the bytes are all
+  bool chunked = false;            ///< how the rest is framed
 };
 
 class WorkerPool {
@@ -89,7 +91,7 @@
   void retire(irisring::WorkerId worker);
 
   // Starts one attempt. `ended` is called once for it, never from within this call.
-  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, AttemptBytes bytes,
+  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, AttemptRequest request,
              std::optional<std::chrono::steady_clock::duration> timeout);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
--- a/tests/back_pressure_test.cpp
+++ b/tests/back_pressure_test.cpp
@@ -396,6 +396,9 @@
     }
     void left(irisring::RequestId) override {}
     void turnedAway(unsigned) override { ++turned; }
+    void closedUnanswered(CloseReason reason) override {
+      ADD_FAILURE() << "closed over a request: " << static_cast<int>(reason);
+    }
     irisring::RequestId last = 0;
     int turned = 0;
     std::vector<std::shared_ptr<Responder>> responders;
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -55,6 +55,9 @@
   }
   void left(irisring::RequestId) override {}
   void turnedAway(unsigned) override {}
+  void closedUnanswered(CloseReason reason) override {
+    ADD_FAILURE() << "closed over a request: " << static_cast<int>(reason);
+  }
   irisring::RequestId last = 0;
   std::vector<std::shared_ptr<Responder>> responders;
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -26,6 +26,9 @@
   }
   void left(irisring::RequestId) override { ++gone; }
   void turnedAway(unsigned) override { ++turned; }
+  void closedUnanswered(CloseReason reason) override {
+    ADD_FAILURE() << "closed over a request: " << static_cast<int>(reason);
+  }
   int turned = 0;
   irisring::RequestId last = 0;
   int gone = 0;
@@ -328,7 +331,7 @@
   for (irisring::WorkerId id = 10; id < 18; ++id) {
     others.push_back(std::make_unique<Listener>(io));
     pool->place(id, {others.back()->address()});
-    pool->start(static_cast<irisring::RequestId>(id), 0, id, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});
+    pool->start(static_cast<irisring::RequestId>(id), 0, id, plain("GET / HTTP/1.1\r\n\r\n"), {});
     until([&] { return others.back()->count("\r\n\r\n") == 1; }, "a request");
     others.back()->peers[0]->send(reply("200 OK", ""));
     untilEnds(others.size());
@@ -363,7 +366,7 @@
   open({});
   pool->place(2, {other.address()});
   start(1);
-  pool->start(2, 0, 2, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});
+  pool->start(2, 0, 2, plain("GET / HTTP/1.1\r\n\r\n"), {});
   untilSeen(1);
   until([&] { return other.count("\r\n\r\n") == 1; }, "a request at the other");
   pool->place(1, {worker.address(), std::chrono::steady_clock::now() + 1h});
@@ -391,7 +394,7 @@
   untilSeen(1);
   worker.peers[0]->send(reply("200 OK", ""));
   untilEnds(2);
-  pool->start(3, 0, 2, {"GET / HTTP/1.1\r\n\r\n", nullptr, false}, {});  // the idle one makes room
+  pool->start(3, 0, 2, plain("GET / HTTP/1.1\r\n\r\n"), {});  // the idle one makes room
   until([&] { return second.count("\r\n\r\n") == 1; }, "a request at the other worker");
   EXPECT_EQ(pool->connections(), 1u);
 }
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -122,6 +122,9 @@
     }
     void left(irisring::RequestId) override { ++gone; }
     void turnedAway(unsigned) override {}
+    void closedUnanswered(CloseReason reason) override {
+      ADD_FAILURE() << "closed over a request: " << static_cast<int>(reason);
+    }
     irisring::RequestId last = 0;
     int gone = 0;
     std::vector<std::shared_ptr<Responder>> responders;
--- a/tests/worker_pool_fixture.hpp
+++ b/tests/worker_pool_fixture.hpp
@@ -28,14 +28,24 @@
   // Starts the first attempt of request `id` at worker 1.
   void start(irisring::RequestId id, std::optional<Duration> timeout = {},
              std::function<bool()> wanted = nullptr) {
-    AttemptBytes bytes;
-    bytes.bytes = "GET / HTTP/1.1\r\nReq-Id: " + std::to_string(id) + "\r\n\r\n";
-    bytes.wanted = std::move(wanted);
     starting = true;
-    pool->start(id, 0, 1, std::move(bytes), timeout);
+    pool->start(id, 0, 1,
+                plain("GET / HTTP/1.1\r\nReq-Id: " + std::to_string(id) + "\r\n\r\n", std::move(wanted)),
+                timeout);
     starting = false;
   }
 
+  // What sends these bytes unless nobody wants them when it could.
+  static AttemptRequest plain(const std::string& bytes, std::function<bool()> wanted = nullptr) {
+    AttemptRequest out;
+    out.size = bytes.size();
+    out.compose = [bytes, wanted = std::move(wanted)]() -> std::optional<std::string> {
+      if (wanted && !wanted()) return std::nullopt;
+      return bytes;
+    };
+    return out;
+  }
+
   // The requests that have come to the worker.
   std::size_t seen() const { return worker.count("\r\n\r\n"); }
   void untilSeen(std::size_t n) {
