--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -108,6 +108,42 @@
   EXPECT_EQ(used(3, 1, workers(9)).size(), 9u);
 }
 
+// Sixteen times the workers, each a sixteenth as large, and the same traffic at each gateway: it goes on
+// using few of them, within the bound on connections made (2.5 times and 40), and every worker keeps its
+// sharers.
+TEST(Fleet, ALongerListMakesAGatewayUseFewMoreWorkers) {
+  const auto used = [](unsigned gateways, unsigned self, WorkerId count) {
+    Settings s = settings();
+    s.gateways = gateways, s.self = self;
+    s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+    Bench b(s);
+    b.list(workers(count));
+    std::set<WorkerId> out;
+    for (int i = 0; i < 800; ++i) {
+      b.now += 50;
+      const RequestId id = b.ask(2, 0, b.last, 1, gateways);
+      if (!b.wasSent(id)) continue;
+      out.insert(b.lastWorker());
+      b.end(id, Result::ok, 50);
+    }
+    return out;
+  };
+  struct Growth {
+    unsigned gateways, gatewaysThen;
+    WorkerId workers;
+  };
+  for (const Growth& g : {Growth{40, 40, 26}, Growth{300, 300, 200}, Growth{300, 900, 200}}) {
+    const std::size_t before = used(g.gateways, 7, g.workers).size();
+    const std::size_t then = used(g.gatewaysThen, 7, 16 * g.workers).size();
+    EXPECT_LE(then, 2.5 * static_cast<double>(before) + 40) << g.gatewaysThen << " gateways";
+  }
+  std::map<WorkerId, unsigned> sharers;
+  for (unsigned self = 0; self < 40; ++self)
+    for (const WorkerId w : used(40, self, 416)) ++sharers[w];
+  EXPECT_EQ(sharers.size(), 416u);
+  for (const auto& [worker, count] : sharers) EXPECT_GE(count, 3u) << worker;
+}
+
 // The budget of a cold worker holds over all gateways together, though only some of them use it, and is used.
 TEST(Fleet, TogetherGatewaysKeepToAColdWorkersBudgetAndUseIt) {
   Settings s = settings();
