Choice of workers: a gateway's own workers stay at most 48 while each keeps four sharers

Cause: assign dealt the workers into min(gateways/20, workers/8) parts (decide.cpp), so that a part grew with the list: 13 to 208 workers at 16 times the list, and with it the connections. Change: subsetsOf also makes as many parts as keep one at 48 workers, as long as four gateways are left to each. Fleets of up to 48 workers, and 300 gateways before 200, choose as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -86,9 +86,14 @@
     10000;                         // cost factor of an ejected or silent worker: only where there is no other
 constexpr unsigned kSharers = 20;  // gateways that use a worker as their own; fewer: uneven as their traffic
 constexpr unsigned kLeastOwn = 8;  // workers that a gateway uses at least; fewer: one bad one is felt
-constexpr double kOutside = 2.5;   // cost factor of one that is not its own
-constexpr double kTried = 30;      // of one that has failed this request
-constexpr Time kBaseTau = 20000;   // ms, memory of a class's usual latency
+// Workers that a gateway uses at most, where enough gateways are left to share each of them: its traffic does
+// not grow with the list, and each worker used takes a connection. More: connections; fewer: uneven.
+constexpr unsigned kMostOwn = 48;
+constexpr unsigned kLeastSharers =
+    4;                            // gateways left to each worker then; fewer: some worker is seen by none
+constexpr double kOutside = 2.5;  // cost factor of one that is not its own
+constexpr double kTried = 30;     // of one that has failed this request
+constexpr Time kBaseTau = 20000;  // ms, memory of a class's usual latency
 constexpr Time kOthersKeep =
     2400;  // ms until a worker without reports counts as the average; longer: old news decides
 constexpr Time kOthersSpan = 50;         // ms that a report stands for at least; 0: two at once count as one
@@ -870,7 +875,7 @@
     for (Worker& w : workers_)
       if (w.listed.phase == Phase::ready) order.emplace_back(0, &w);
     const std::size_t n = order.size();
-    subsets_ = std::max(1u, std::min(set_.gateways / kSharers, static_cast<unsigned>(n) / kLeastOwn));
+    subsets_ = subsetsOf(static_cast<unsigned>(n));
     for (auto& [hash, w] : order) w->own = subsets_ == 1;
     if (subsets_ == 1) return;
     const std::uint64_t round = set_.self / subsets_;
@@ -887,6 +892,14 @@
     for (auto it = first; it != last; ++it) it->second->own = true;
   }
 
+  // Into how many parts the workers are dealt out: as many as leave each worker its sharers and each gateway
+  // its least; more than that where a part would be larger than a gateway's most.
+  unsigned subsetsOf(unsigned count) const {
+    const unsigned usual = std::min(set_.gateways / kSharers, count / kLeastOwn);
+    const unsigned needed = (count + kMostOwn - 1) / kMostOwn;
+    return std::max({1u, usual, std::min(set_.gateways / kLeastSharers, needed)});
+  }
+
   // The lowest i with i * subsets_ / n == part.
   std::size_t partStart(std::size_t part, std::size_t n) const {
     return (part * n + subsets_ - 1) / subsets_;
