Tests: a second answer that the worker's machine held back becomes the next request's

Change: a test of the pool: after 40 exchanges on a connection, a second answer 2 ms behind the first.

--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -79,6 +79,27 @@
   EXPECT_EQ(seen(), 1u);
 }
 
+// The worker's machine holds a second small write back until the first is acknowledged (Nagle), and this
+// machine, once a connection has carried some exchanges, acknowledges only after 40 ms or with what it sends:
+// the next request would let the second answer go.
+TEST_F(PoolRaces, ASecondAnswerThatTheWorkersMachineHeldBackIsNeverTheNextRequests) {
+  constexpr irisring::RequestId kExchanges = 40;
+  for (irisring::RequestId id = 1; id <= kExchanges; ++id) {
+    start(id);
+    until([&] { return seen() == id; }, "a request");
+    if (id == kExchanges) onEnd = [this] { start(kExchanges + 1); };
+    worker.peers[0]->send(reply("200 OK", "answer"));
+    untilEnds(id);
+  }
+  io.restart();
+  io.run_for(2ms);
+  worker.peers[0]->send(reply("200 OK", "stray"));
+  until([&] { return ends.size() > kExchanges || seen() > kExchanges; }, "the next attempt");
+  io.restart();
+  io.run_for(20ms);
+  for (const AttemptEnd& end : ends) EXPECT_NE(end.body, "stray");
+}
+
 TEST_F(PoolRaces, AnAttemptThatWaitsForALateSecondAnswerEndsWhenItsWorkerLeaves) {
   start(1);
   until([&] { return seen() == 1; }, "the first request");
