Workers: answers are acknowledged at once, so that a second one is seen before the next request

Cause: rest() (worker_pool.cpp) waits 6 ms for a late second answer, but a worker's machine holds a second small write back until the first is acknowledged (Nagle), and this machine's kernel acknowledges after 40 ms or with the next request, which let the second answer go and took it for its own. Change: TCP_QUICKACK as a connection to a worker begins to rest.

--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -1,5 +1,8 @@
 #include "node/worker_pool.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <charconv>
@@ -25,6 +28,8 @@
 // An answer may be followed by a second one some milliseconds later (1 to 4 ms on the bench), which would be
 // taken for that of the next request: until then nothing is written to the connection.
 constexpr auto kSettle = std::chrono::milliseconds(6);
+using QuickAcknowledgement = asio::detail::socket_option::boolean<IPPROTO_TCP, TCP_QUICKACK>;
+
 constexpr std::size_t kWindow = 2 * kStreamStep + 64;  // a piece of a body with its frame
 
 template <class T>
@@ -139,6 +144,10 @@
 
   void rest() {
     restedAt_ = Clock::now();
+    // Acknowledges the answer now: a second one that the worker's machine holds back until then (Nagle) would
+    // else be let go by the next request, and be taken for its answer.
+    Error ignored;
+    socket_.set_option(QuickAcknowledgement(true), ignored);
     waiting_.leave();
     in_.shrink_to_fit();
     room_.shrinkTo(cost(0));
