--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -119,6 +119,28 @@
   }
 }
 
+// An outage too short to be missed while it lasts leaves the open watch silent for ever. What the agent has
+// at its return counts as told at once.
+TEST(OwnAgent, WhatCountsAsToldAfterAShortOutageIsHadInTime) {
+  constexpr Time kShortest = 450, kLongest = 1200;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Machine m(seed % 2 == 0 ? 1 : 300, seed);
+    m.act(m.watch.open(0));
+    for (int outage = 0; outage < 10; ++outage) {
+      for (const Time until = m.now + 3000 + 4000 * m.chance(); m.now < until;) m.step();
+      m.become(Machine::Agent::silent);
+      for (const Time until = m.now + kShortest + (kLongest - kShortest) * m.chance(); m.now < until;)
+        m.step();
+      m.become(Machine::Agent::up);
+      for (const Time until = m.now + kStop + 100; m.now < until;) {
+        m.step();
+        ASSERT_TRUE(m.has == m.version || m.now <= m.toldAt + kStop)
+            << "seed " << seed << " at " << m.now << ", told at " << m.toldAt;
+      }
+    }
+  }
+}
+
 TEST(OwnAgent, ASilentAgentIsAskedLessThanTwiceASecondAndARefusingOneLessThanEightTimes) {
   for (const auto agent : {Machine::Agent::silent, Machine::Agent::refusing}) {
     Machine m(350, 7);
