Lab: soak, seeds of overlapping troubles over real processes, judged by rules and invariants

Change: `wingslip-lab soak`: 20 gatekeepers and 30 workers a fleet, two or three episodes of two or three troubles each from a seed (stops, kills, pauses, reloads, upgrades, failing calls, clock steps, a failing folder, exclusions, discovery down, silent, crowded, drains, restarts, links), clients that keep connections and leave, pipeline, stop, write slowly, crowd in idle, workers that misbehave; several fleets at once, the first failing seed made smaller and printed with its call. The judge counts by rule and reads invariants from the logs. Proxies and workers write without delay, pieces on a slow link keep their distance. Needed descriptors are worked out first. Unit tests of each invariant; a short form under ctest.

--- /dev/null
+++ b/tools/lab/client_request.hpp
@@ -0,0 +1,17 @@
+/// The requests of the lab's clients, after the protocol page.
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+
+#include "scenario.hpp"
+
+namespace wingslip::lab {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// A request of this id and customer: `edit` is a keyed POST with a body, else it is a safe GET.
+HttpRequest requestOf(const Scenario& scenario, std::uint64_t id, int customer, bool edit);
+
+}  // namespace wingslip::lab
--- a/tools/lab/judge.hpp
+++ b/tools/lab/judge.hpp
@@ -2,6 +2,7 @@
 // milliseconds from the start of the load, given by the caller; nothing here reads a clock or a socket.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,7 +14,9 @@
 
 namespace wingslip::lab {
 
-enum class Fate { open, served, refused, failed, closed, unreachable, lost, wrong };
+/// crossed: sent on a connection that the gatekeeper was just ending, and heard by nobody; left: its client
+/// went.
+enum class Fate { open, served, refused, failed, closed, unreachable, lost, wrong, crossed, left };
 const char* nameOf(Fate fate);
 std::optional<Fate> fateOf(const std::string& name);  // the name as in nameOf; none: no such fate
 
@@ -26,6 +29,23 @@
   bool excused = false;  // its gatekeeper was down, stopped or ending while it was out
 };
 
+/// The rules that the judge holds, as its counts name them.
+enum class Rule : std::uint8_t {
+  answered_twice,     ///< or an answer for a request never sent
+  wrong_body,         ///< a 200 that no worker made for the request
+  late,               ///< answered after its time and the slack
+  unanswered,         ///< taken and closed, or silent
+  crossed_run,        ///< closed without an answer although a worker had it
+  past_cap,           ///< more attempts than the settings grant
+  to_leaving,         ///< an attempt at a worker that drains or is gone
+  to_excluded,        ///< an attempt at a worker that is excluded by hand
+  after_client,       ///< an attempt for a client that had gone
+  peer_left_hanging,  ///< a half request or nonsense neither answered nor closed
+  fencing,            ///< an act under an old token
+};
+constexpr std::size_t kRules = static_cast<std::size_t>(Rule::fencing) + 1;
+const char* nameOf(Rule rule);
+
 class Judge {
  public:
   // attemptsCap: the settings' `permissions.attemptsCap`; a worker that sees one id more often breaks a rule.
@@ -35,6 +55,13 @@
   void sent(std::uint64_t id, int gatekeeper, double atMs, double deadlineMs);
   void answered(std::uint64_t id, double atMs, int status, const std::string& body);
   void ended(std::uint64_t id, double atMs, Fate fate);  // closed, unreachable or lost (the client gave up)
+  /// Its connection, which had been used before, was closed with nothing said to it: it breaks a rule if a
+  /// worker has seen it, else the close crossed it.
+  void crossed(std::uint64_t id, double atMs);
+  /// Its client has closed the connection: no attempt begins later than kLeftSlackMs after.
+  void left(std::uint64_t id, double atMs);
+  /// A peer that said half a request, or nonsense, has got neither an answer nor a close since `sinceMs`.
+  void leftHanging(int gatekeeper, double sinceMs, double atMs);
 
   // Worker side: an attempt has come whole to `worker` through `gatekeeper`'s link; `body` is what it will
   // answer with a 200, if it does.
@@ -42,6 +69,13 @@
   // The agent of `gatekeeper` has written that `worker` drains or is gone (the first time counts).
   void drainTold(int gatekeeper, int worker, double atMs);
   void drainUndone(int gatekeeper, int worker);
+  /// `gatekeeper` excludes the worker by hand from `atMs` on, and no longer.
+  void excluded(int gatekeeper, int worker, double atMs);
+  void included(int gatekeeper, int worker);
+  /// How much later than it was written an attempt may come to its worker, where links are slow.
+  void linksDelay(double ms) { linkDelayMs_ = ms; }
+  /// Whether an answer past its time is excused where its gatekeeper was stopped meanwhile.
+  void lateIsExcusedWhileDown(bool excused) { lateExcused_ = excused; }
   // A process fault of a gatekeeper (kill, stop, term) from `fromMs`, until `toMs` (it serves again).
   void down(int gatekeeper, double fromMs);
   void up(int gatekeeper, double atMs);
@@ -55,6 +89,8 @@
   long count(Fate fate, std::optional<int> gatekeeper = {}, double afterMs = 0, double beforeMs = 1e18) const;
   const std::vector<std::string>& broken() const { return broken_; }
   long brokenCount() const { return brokenCount_; }
+  /// How often each rule was broken; those that held are left out.
+  const std::map<std::string, long>& brokenByRule() const { return brokenByRule_; }
   const std::unordered_map<std::uint64_t, Request>& requests() const { return requests_; }
   // Milliseconds from sending to the end, of the served ones: for quantiles.
   std::vector<double> servedTimes() const;
@@ -67,7 +103,7 @@
   }
 
  private:
-  void breaks(std::string what);
+  void breaks(Rule rule, std::string what);
   bool wasDown(int gatekeeper, double fromMs, double toMs) const;
 
   int attemptsCap_;
@@ -81,6 +117,11 @@
   std::string holder_;
   std::vector<std::string> broken_;  // the first 100
   long brokenCount_ = 0;
+  std::map<std::string, long> brokenByRule_;
+  std::unordered_map<std::uint64_t, double> leftAt_;
+  std::map<std::pair<int, int>, double> excluded_;  // (gatekeeper, worker) -> since
+  double linkDelayMs_ = 0;
+  bool lateExcused_ = false;
 };
 
 }  // namespace wingslip::lab
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "fleet.hpp"
 #include "run_report.hpp"
 #include "scale_command.hpp"
+#include "soak/command.hpp"
 
 int main(int argc, char** argv) {
   CLI::App app{"wingslip-lab: plays a scenario of faults against several burlwind processes on 127.0.0.1"};
@@ -37,6 +38,7 @@
   report->add_option("dir", reportDir, "the run's --out folder")->required();
   wingslip::lab::addDistributionCommand(app);
   wingslip::lab::addScaleCommands(app, options.burlwind);
+  wingslip::lab::addSoakCommand(app, options.burlwind);
   CLI11_PARSE(app, argc, argv);
   spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -40,7 +41,8 @@
   Worker(asio::io_context& io, int index, const Scenario& s, Judge& judge, const LinkOf& links,
          std::function<double()> nowMs, std::uint64_t seed);
   unsigned short port() const { return port_; }
-  void restart();  // as a new process under the same address: all connections reset, cold again
+  bool strikes(double share);  // by chance, for a share of the exchanges
+  void restart();              // as a new process under the same address: all connections reset, cold again
   WorkerMode mode;
   int inFlight = 0;
 
@@ -73,8 +75,17 @@
   // A worker changes; watches are told at once (unless the agent is down), and drains go to the judge.
   void change(std::size_t worker, const std::string& lifecycle, double startedAtMs);
   void setDown(bool down);
+  // Ends all open watches; they may be opened anew.
+  void endWatches();
+  // All open watches fall silent; others may be opened. What they miss counts as told kSilentToldMs later.
+  void silenceWatches();
+  // While crowded every call is answered 503.
+  void setCrowded(bool crowded) { crowded_ = crowded; }
   // In discovery's form: the whole list, or these entries of it.
   std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
+  // Its gatekeeper starts anew. While the agent is silent nothing tells a new process what the agent has
+  // (docs/open.md): that counts as told when it speaks again.
+  void gatekeeperStarts();
   // Whether its gatekeeper can reach it now. What it has counts as told from then on, whether or not a watch
   // is open.
   void setHeard(bool heard);
@@ -92,7 +103,9 @@
   tcp::acceptor acceptor_;
   unsigned short port_;
   long generation_ = 1;
-  bool down_ = false, heard_ = true;
+  bool down_ = false, heard_ = true, crowded_ = false;
+  bool untoldToNew_ = false;           // its gatekeeper has started while it was silent
+  std::optional<double> silentSince_;  // until a watch is opened anew
   std::vector<std::size_t> untold_;
   std::set<std::shared_ptr<Watch>> watches_, mute_;
   asio::steady_timer beat_;
--- a/tools/lab/run_report.hpp
+++ b/tools/lab/run_report.hpp
@@ -55,8 +55,9 @@
   std::optional<StoreUse> store;
   std::map<int, IdleClientCounts> idleClients;  ///< by gatekeeper
   std::vector<FigureMost> figures;
-  std::vector<std::string> crashes;  ///< broken rules that the judge does not see
-  std::vector<std::string> unmet;    ///< expectations that do not hold
+  std::vector<std::string> crashes;     ///< broken rules that the judge does not see
+  std::vector<std::string> invariants;  ///< what gatekeepers' logs say of invariants that were broken
+  std::vector<std::string> unmet;       ///< expectations that do not hold
 };
 
 /// Writes the report's files into the folder `out`.
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -18,13 +18,14 @@
 };
 
 // One fault or repair at its time. Which target fields are set depends on `what`:
-// gatekeeper faults (kill, stop, cont, term, restart, upgrade, hup) set `gatekeeper`; link faults (cut,
-// blackhole, oneway, delay, throttle, heal) set `worker`, `zone` or `link` and optionally `gatekeeper` (all
-// when missing); worker faults (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults
-// (agent_down, agent_up) and `invalidate` (its sessions at the store) set `gatekeeper`; faults of its system
-// (calls, clock_step, disk) set `gatekeeper`, or none for all; the store's
-// (store_stop, store_start, store_wipe, store_save, store_old, store_silent, store_errors, store_lose,
-// store_ok) set none.
+// gatekeeper faults (kill, stop, cont, pause, term, finish, restart, upgrade, hup) set `gatekeeper`, where
+// `term` excuses what is open then and `finish` (SIGTERM too) excuses nothing; link faults (cut, blackhole,
+// oneway, delay, throttle, heal) set `worker`, `zone` or `link` and optionally `gatekeeper` (all when
+// missing); worker faults (drain, silent, revive, restart_worker) set `worker` or `zone`; agent faults
+// (agent_down, agent_up, watch_end, watch_silent, discovery_crowded, discovery_ok) and `invalidate` (its
+// sessions at the store) set `gatekeeper`; faults of its system (calls, clock_step, disk) set `gatekeeper`,
+// or none for all; the store's (store_stop, store_start, store_wipe, store_save, store_old, store_silent,
+// store_errors, store_lose, store_ok) set none.
 struct Step {
   double atS = 0;  // seconds from the start of the load
   std::string what;
@@ -41,6 +42,7 @@
   std::optional<CallFault> call;  // `calls` only: the kind of system calls that fail from now on
   double share = 0;               // `calls` only: of these calls
   double stepMs = 0;              // `clock_step` only: by how much the wall clock is stepped
+  double forMs = 0;               // `pause` only: how long the process stands still
   int diskError = 0;              // `disk` only: errno of writes to files from now on; 0: none
   int line = 0;                   // where it stands in the file, for messages
 };
@@ -57,6 +59,29 @@
   double partShare = 0.05;        // of the clients: send part of a request and rest; the others send nothing
 };
 
+/// Clients that keep their connections and are rough with them (`rough_clients.hpp`). The shares are those of
+/// the exchanges; the rest are plain ones.
+struct RoughLoad {
+  int clients = 0;       ///< over all gatekeepers
+  double thinkMs = 200;  ///< between two exchanges, in the mean
+  double leave = 0;      ///< go while their request is out, or in the middle of it
+  double pipeline = 0;   ///< send several requests at once
+  double stop = 0;       ///< stop in the middle of a request and stay
+  double slow = 0;       ///< write a request in pieces
+  double malformed = 0;  ///< send what is no request
+};
+
+/// What a stand-in worker does to some of its exchanges, as shares of them.
+struct RoughWorkers {
+  double twice = 0;     ///< answers a second time some milliseconds later
+  double unframed = 0;  ///< answers with no length, and closes
+  double broken = 0;    ///< resets the connection in the middle of the answer
+  double reset = 0;     ///< resets the connection once it has the request
+  double hang = 0;      ///< says nothing
+  double error = 0;     ///< answers 500
+  double closes = 0;    ///< closes the connection some time after the answer
+};
+
 // A count that the run must reach: fates (served, refused, failed, closed, unreachable, lost, wrong) of the
 // requests sent in [afterS, beforeS), at one gatekeeper or all; `attempts` that came to a worker or a zone's
 // workers in that time; `upgrades` whose old process has ended in order; `claims` of the duty (a new token
@@ -103,7 +128,11 @@
   // them.
   bool replica = false;
   double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
-  IdleLoad idle;  // `[idle_clients]`
+  IdleLoad idle;              // `[idle_clients]`
+  RoughLoad rough;            // `[rough_clients]`
+  RoughWorkers roughWorkers;  // `[rough_workers]`
+  bool stateFolders = false;  // every gatekeeper has a $TMPDIR that outlives it; with heldSockets it has one
+  bool clientsMayWait = false;  // a stopped process is late by as much: answers past their time are excused
   // `[system]`, or a step of that kind: every gatekeeper runs with the fault library.
   bool faultLibrary = false;
   SystemFaults system;      // from each start of a gatekeeper on
