Log through spdlog, one line an event; counts of each refusal and retry by reason

Need: logs and metrics could not tell why a request was refused or sent again, and lines were made by hand.

--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -117,6 +117,16 @@
   std::size_t avoided = 0;  // of these: by hand, while they drain, or by choice
 };
 
+// Requests refused since the start, by the belief that refused them.
+struct RefusalCounts {
+  std::uint64_t bucket = 0;    // of its customer, at this gateway, is empty
+  std::uint64_t store = 0;     // of its customer, over all gateways, is held to be
+  std::uint64_t stranger = 0;  // its customer's store is unknown
+  std::uint64_t worker = 0;    // no worker may be sent to
+  std::uint64_t room = 0;      // of these: the gateway's own limit
+  std::uint64_t pressed = 0;   // the host is short of memory, descriptors or time
+};
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -161,6 +171,7 @@
   void knowWarmRate(Time now, double rate);
 
   Census census(Time now) const;
+  RefusalCounts refusals() const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -478,6 +478,7 @@
     warmAt_ = now;
   }
 
+  const RefusalCounts& refusals() const { return refusals_; }
   std::size_t customersHeld() const { return index_.size(); }
   std::size_t requestsHeld() const { return held_.size(); }
 
@@ -1173,22 +1174,24 @@
       if (w.listed.phase != Phase::ready) continue;
       ++ready, ejected += w.ejectedUntil > now, cold += warmth(w, now)<1, full += w.fullUntil> now;
     }
+    const auto since = [](std::uint64_t count, std::uint64_t before) {
+      return static_cast<unsigned>(count - before);
+    };
+    const RefusalCounts& then = summarized_;
     char line[280];
     std::snprintf(line, sizeof line,
                   "refused: bucket %u store %u unknown %u (reach %.2f) worker %u (gateway's limit %u) "
                   "pressed %u; limit %.1f out %u "
                   "pressed %.2f; "
                   "workers ready %u ejected %u cold %u full %u",
-                  refusals_.bucket, refusals_.store, refusals_.stranger, reach_, refusals_.worker,
-                  refusals_.room, refusals_.pressed, limit_, inFlight_, pressed_, ready, ejected, cold, full);
-    refusals_ = {};
+                  since(refusals_.bucket, then.bucket), since(refusals_.store, then.store),
+                  since(refusals_.stranger, then.stranger), reach_, since(refusals_.worker, then.worker),
+                  since(refusals_.room, then.room), since(refusals_.pressed, then.pressed), limit_, inFlight_,
+                  pressed_, ready, ejected, cold, full);
+    summarized_ = refusals_;
     actions_.log(line);
   }
 
-  struct Refusals {
-    unsigned bucket = 0, store = 0, stranger = 0, worker = 0, room = 0, pressed = 0;
-  };
-
   Settings set_;
   std::vector<ProfilePtr> classes_;
   Actions& actions_;
@@ -1223,7 +1226,7 @@
   Pressure press_;
   double cut_ = 0;  // worth for what it holds under which a new request is too many
   Time loggedAt_ = -kLogEvery;
-  Refusals refusals_;
+  RefusalCounts refusals_, summarized_;  // since the start; and as they were at the last line
   Time summaryAt_ = 0;
 };
 
@@ -1248,6 +1251,7 @@
 double Gateway::warmRate(Time now) const { return core_->warmRate(now); }
 void Gateway::knowWarmRate(Time now, double rate) { core_->knowWarmRate(now, rate); }
 Census Gateway::census(Time now) const { return core_->census(now); }
+RefusalCounts Gateway::refusals() const { return core_->refusals(); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
 
--- a/src/node/back_pressure.cpp
+++ b/src/node/back_pressure.cpp
@@ -7,10 +7,11 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cerrno>
-#include <cstdio>
 #include <utility>
 #include <vector>
 
+#include "node/log.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -247,11 +248,12 @@
 void BackPressure::report() {
   static constexpr std::array<const char*, 3> kNames{"none", "slow", "shed"};
   const auto name = [](Stage stage) { return kNames[static_cast<std::size_t>(stage)]; };
-  std::fprintf(
-      stderr, "burlwind: pressure %s (memory %s, descriptors %s, loop %s); memory %zu of %zu, most %zu; %s\n",
+  processLog().info(
+      "event=pressure stage={} memory={} descriptors={} loop={} held_bytes={} budget_bytes={} most_bytes={} "
+      "{}",
       name(pressure_.stage()), name(pressure_.stage(Source::memory)),
       name(pressure_.stage(Source::descriptors)), name(pressure_.stage(Source::loop)), ledger_.held(),
-      ledger_.total(), ledger_.most(), places_.logLine(now()).c_str());
+      ledger_.total(), ledger_.most(), places_.logLine(now()));
 }
 
 }  // namespace burlwind
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
-#include <cstdio>
 
 #include "node/handover.hpp"
+#include "node/log.hpp"
 
 namespace burlwind {
 namespace {
@@ -132,7 +132,7 @@
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), *this, pressure_),
       gateway_(config.settings, config.seed, clock_.now(), *this),
-      monitor_([](const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); },
+      monitor_([](const std::string& line) { processLog().error("event=invariant text=\"{}\"", line); },
                [this] { return gateway_.warmRate(clock_.now()); }),
       exclusions_(config.stateDir),
       settle_(io),
@@ -218,6 +218,7 @@
   Metrics figures = metrics_;
   figures.attempts = pool_.attemptsWritten();
   figures.shortHere = pool_.shortHere();
+  figures.refusals = gateway_.refusals();
   return telemetryText(figures, {held_.size(), census.listed, census.avoided},
                        monitor_.telemetry() + server_.closes().telemetry() + sendRefusals_.telemetry() +
                            pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : "") +
@@ -260,7 +261,7 @@
   const auto before = exclusions_.ids();
   const std::error_code error = exclusions_.set(id, excluded);
   applyExclusions(before);
-  std::fprintf(stderr, "burlwind: %s by hand: %s\n", excluded ? "excluded" : "included", id.c_str());
+  processLog().info("event={} worker={} kept={}", excluded ? "excluded" : "included", id, !error);
   if (!error) return {};
   return {ByHand::State::not_kept, error};
 }
@@ -346,18 +347,19 @@
   const ClientServer::Stats server = server_.takeStats();
   const Discovery::Stats discovery = discovery_->takeStats();
   const auto ended = [&](Result result) { return pool.results[static_cast<std::size_t>(result)]; };
-  std::fprintf(
-      stderr,
-      "burlwind: served %u refused %u failed %u rejected %u held %zu; attempts ok %u error %u "
-      "(unreadable %u) full %u timeout %u unconnected %u reset %u (reused %u, in an answer %u) cancelled %u; "
-      "connections client %zu "
-      "worker %zu; most buffered client %zu worker %zu; discovery read %zu longest line %zu lists %u calls "
-      "%llu\n",
-      served_, refused_, failed_, server.rejected, held_.size(), ended(Result::ok), ended(Result::error),
-      pool.unreadable, ended(Result::full), ended(Result::timeout), ended(Result::connectFailed),
-      ended(Result::reset), pool.resetReused, pool.resetInAnswer, ended(Result::cancelled),
-      server_.connections(), pool_.connections(), server.mostBuffered, pool.mostBuffered, discovery.read,
-      discovery.longestLine, discovery.lists, static_cast<unsigned long long>(discovery.calls));
+  processLog().info(
+      "event=requests served={} refused={} failed={} rejected={} held={} client_connections={} "
+      "most_buffered_client={}",
+      served_, refused_, failed_, server.rejected, held_.size(), server_.connections(), server.mostBuffered);
+  processLog().info(
+      "event=attempts ok={} error={} unreadable={} full={} timeout={} unconnected={} reset={} "
+      "reset_reused={} reset_in_answer={} cancelled={} worker_connections={} most_buffered_worker={}",
+      ended(Result::ok), ended(Result::error), pool.unreadable, ended(Result::full), ended(Result::timeout),
+      ended(Result::connectFailed), ended(Result::reset), pool.resetReused, pool.resetInAnswer,
+      ended(Result::cancelled), pool_.connections(), pool.mostBuffered);
+  processLog().info("event=lists read={} longest_line={} lists={} calls={} invariants_broken={}",
+                    discovery.read, discovery.longestLine, discovery.lists, discovery.calls,
+                    monitor_.total());
   served_ = refused_ = failed_ = 0;
   pressure_.report();
 }
@@ -418,7 +420,8 @@
   pool_.retune(poolLimits(config_), config_.settings.reportFields);
   pressure_.retune(pressureLimits(config_));
   if (config.memoryMb != config_.memoryMb)
-    std::fprintf(stderr, "burlwind: limits.memory_mb stays at %g, as at the start\n", config_.memoryMb);
+    processLog().warn("event=reload text=\"limits.memory_mb stays as at the start\" memory_mb={}",
+                      config_.memoryMb);
   for (const std::string& name : config_.host.classes)
     if (metrics_.classes.size() < kMostClasses) metrics_.classes.try_emplace(name);
   // One that drains has told both that it goes, and its end waits for the coordinator that it has.
@@ -437,13 +440,14 @@
   }
   ++metrics_.reconfigOk;
   discovery_->moveTo(config.discovery, watchLimits(config_));
-  std::fprintf(stderr, "burlwind: configuration read again\n");
+  processLog().info("event=reloaded");
 }
 
 // Where the platform holds the listening socket the next process accepts already; connections that this one
 // has are kept for a while, so that what their clients are sending is heard.
 void Gatekeeper::drain(std::function<void()> done) {
   draining_ = true;
+  processLog().info("event=drain held={} client_connections={}", held_.size(), server_.connections());
   if (replica_) replica_->drain();
   if (coordinator_) {
     coordinator_->drain();
@@ -477,6 +481,8 @@
 // The process ends: whatever is still held is owed.
 void Gatekeeper::finishDrain(const std::function<void()>& done) {
   const Time now = clock_.now();
+  processLog().info("event=drained held={} client_connections={} invariants_broken={}", held_.size(),
+                    server_.connections(), monitor_.total());
   for (auto& [id, held] : held_)
     if (!held.answering) monitor_.forgotten(held.trace, now);
   if (server_.connections() == 0)
@@ -526,7 +532,7 @@
   settle_.expires_at(startedAt_ + kExclusionsWithin);
   settle_.async_wait([this](const Error& error) {
     if (error) return;
-    std::fprintf(stderr, "burlwind: serving without knowing who is excluded by hand\n");
+    processLog().error("event=exclusions text=\"serving without knowing who is excluded by hand\"");
     settleOnce();
   });
 }
@@ -624,7 +630,9 @@
 
 void Gatekeeper::noteEnd(const Outcome& outcome) {
   const auto found = held_.find(outcome.id);
-  if (found != held_.end()) monitor_.ended(found->second.trace, outcome.worker, outcome.result, clock_.now());
+  if (found == held_.end()) return;
+  found->second.lastResult = outcome.result;
+  monitor_.ended(found->second.trace, outcome.worker, outcome.result, clock_.now());
 }
 
 void Gatekeeper::ended(AttemptEnd&& end) {
@@ -746,6 +754,7 @@
   if (gone) asio::post(io_, [responder = held.responder] { responder->leave(); });
   if (gone || left <= 0 || held.pulled) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
+  if (held.attempts > 0) metrics_.retries.add(held.lastResult);
   held.attemptUntil = early ? now + timeout : held.expires;
   monitor_.connecting(held.trace, worker, now);
   pool_.start(id, held.attempts++, worker, attemptRequest(id, held, worker),
@@ -820,7 +829,7 @@
   });
 }
 
-void Gatekeeper::log(const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); }
+void Gatekeeper::log(const std::string& line) { processLog().info("event=decisions text=\"{}\"", line); }
 
 // The final answer, whole or cut. What comes later for this request finds nothing.
 std::shared_ptr<Responder> Gatekeeper::conclude(RequestId id, invariant::RequestState how) {
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -64,7 +64,8 @@
     bool streamed = false;                // the body is not held whole
     bool pulled = false;                  // and what is held is no more its beginning and all that has come
     bool answering = false;               // the answer has begun to be passed on
-    irisring::Time attemptUntil = 0;      // when the attempt that is out is given up
+    irisring::Result lastResult = irisring::Result::ok;  // of its last attempt
+    irisring::Time attemptUntil = 0;                     // when the attempt that is out is given up
     invariant::RequestTrace trace;
   };
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -3,11 +3,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
-#include <cstdio>
 #include <exception>
 #include <utility>
 
 #include "node/gatekeeper.hpp"
+#include "node/log.hpp"
 #include "node/signal_watch.hpp"
 
 namespace {
@@ -45,7 +45,7 @@
 
   void turnDown(const std::exception& wrong) {
     gatekeeper_.reloadFailed();
-    std::fprintf(stderr, "burlwind: kept as it was: %s\n", wrong.what());
+    burlwind::processLog().error("event=reload_failed text=\"kept as it was: {}\"", wrong.what());
   }
 
   void again(int reads) {
@@ -83,7 +83,7 @@
   try {
     return run();
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "burlwind: %s\n", error.what());
+    burlwind::processLog().critical("event=ended text=\"{}\"", error.what());
     return 1;
   }
 }
--- a/src/node/metrics.hpp
+++ b/src/node/metrics.hpp
@@ -1,22 +1,37 @@
 // The figures that operators fetch: counts from the start of the process.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 
+#include "irisring/decide.hpp"
+
 namespace burlwind {
 
 struct ClassCounts {
   std::uint64_t success = 0, busy = 0, failure = 0;  // final answers
 };
 
+// Attempts after the first of their request, by how the one before had ended (irisring::Result).
+struct RetryCounts {
+  static constexpr std::array<const char*, 8> kNames{"ok",          "error", "declined",  "timeout",
+                                                     "unconnected", "reset", "cancelled", "never_sent"};
+  std::array<std::uint64_t, kNames.size()> after{};
+
+  void add(irisring::Result before) { ++after[static_cast<std::size_t>(before)]; }
+};
+
 // By the class's name: one that a reload drops keeps its counts.
 struct Metrics {
   std::map<std::string, ClassCounts> classes;
   std::uint64_t attempts = 0;   // written whole to workers
   std::uint64_t shortHere = 0;  // not begun for want of descriptors or memory here
   std::uint64_t reconfigOk = 0, reconfigFailed = 0;
+  RetryCounts retries;
+  irisring::RefusalCounts refusals;
 };
 
 struct Gauges {
@@ -39,6 +54,14 @@
   line("backend_short", metrics.shortHere, "c");
   line("reconfig_ok", metrics.reconfigOk, "c");
   line("reconfig_failed", metrics.reconfigFailed, "c");
+  for (std::size_t i = 0; i < RetryCounts::kNames.size(); ++i)
+    line(std::string("retry_after.") + RetryCounts::kNames[i], metrics.retries.after[i], "c");
+  line("refused.bucket", metrics.refusals.bucket, "c");
+  line("refused.store", metrics.refusals.store, "c");
+  line("refused.unknown", metrics.refusals.stranger, "c");
+  line("refused.worker", metrics.refusals.worker, "c");
+  line("refused.limit", metrics.refusals.room, "c");
+  line("refused.pressed", metrics.refusals.pressed, "c");
   line("inflight", gauges.inFlight, "g");
   line("hosts_listed", gauges.listed, "g");
   line("hosts_down", gauges.down, "g");
--- a/src/pressure/places.cpp
+++ b/src/pressure/places.cpp
@@ -54,14 +54,15 @@
 }
 
 std::string Places::logLine(Time now) const {
-  std::string out = "waiting (now/most/oldest ms/turned away):";
+  std::string out;
   for (std::size_t i = 0; i < kPlaces; ++i) {
     const Figures figures = this->figures(static_cast<WaitAt>(i), now);
     if (figures.waiting == 0 && figures.turnedAway == 0) continue;
     char part[96];
-    const int n = std::snprintf(part, sizeof part, " %s %zu/%zu/%.0f/%llu", kPlaceNames[i].data(),
-                                figures.waiting, figures.most, std::max(0.0, figures.oldest),
-                                static_cast<unsigned long long>(figures.turnedAway));
+    const int n =
+        std::snprintf(part, sizeof part, "%swait.%s=%zu/%zu/%.0f/%llu", out.empty() ? "" : " ",
+                      kPlaceNames[i].data(), figures.waiting, figures.most, std::max(0.0, figures.oldest),
+                      static_cast<unsigned long long>(figures.turnedAway));
     out.append(part, static_cast<std::size_t>(std::clamp<int>(n, 0, sizeof part - 1)));
   }
   return out;
