Tests: a request that waited to be accepted is given more time than its client has left

Connections wait in the machine's queue while descriptors are short or all places are busy, and the client's time runs from its last byte. Change: a test with accepts that fail for a second.

--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -91,6 +91,27 @@
   EXPECT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos);
 }
 
+// A request that stood in the machine's queue has less time left than its client said.
+TEST_F(UnderFaults, TheDeadlinePassedOnIsLessByWhatARequestWaitedToBeAccepted) {
+  ProgramUnderFaults program(folder, config(), {});
+  untilReady();
+  program.faults->setShare(CallFault::accept_full, 1);
+  Ask what;
+  what.deadline = "4000";
+  const auto asked = std::chrono::steady_clock::now();
+  const auto client = ask(what);
+  io.restart();
+  io.run_for(1s);
+  program.faults->setShare(CallFault::accept_full, 0);
+  until([&] { return worker.count("\r\n\r\n") == 1; }, "a request at the worker");
+  const std::chrono::duration<double, std::milli> passed = std::chrono::steady_clock::now() - asked;
+  const std::string name = "Req-Deadline-Ms: ";
+  const std::string& got = worker.peers.at(0)->got;
+  ASSERT_NE(got.find(name), std::string::npos) << got;
+  EXPECT_LE(std::stod(got.substr(got.find(name) + name.size())), 4000 - passed.count() + 150);
+  EXPECT_GE(std::stod(got.substr(got.find(name) + name.size())), 4000 - passed.count() - 150);
+}
+
 constexpr double kHourMs = 3600 * 1000;
 
 double unixNow() {
