Clients: what a first request waited in the machine's queue counts against its client's time

Cause: handle (client_connection.cpp) took the client's whole patience from the moment of the read, while a connection may have stood in the accept queue for as long as descriptors or places were short. Change: for a connection's first request the kernel is asked how long ago the last bytes came (TCP_INFO, tcpi_last_data_recv); that is taken off the client's time. One more question a connection. The report line says the longest such wait.

--- a/src/node/back_pressure.cpp
+++ b/src/node/back_pressure.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cerrno>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -26,11 +27,14 @@
 constexpr double kLookEvery = 250;     // ms between looks at whether a paused peer has left
 constexpr std::size_t kMostSteps = 4;  // of an account's paused reads that fail in one wake
 
-bool tcpInfo(int descriptor, tcp_info& info) {
+// Whether the kernel tells at least the first `least` bytes of it.
+bool tcpInfo(int descriptor, tcp_info& info, std::size_t least) {
   socklen_t size = sizeof info;
-  return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && size >= sizeof info.tcpi_state;
+  return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && size >= least;
 }
 
+bool tcpInfo(int descriptor, tcp_info& info) { return tcpInfo(descriptor, info, sizeof info.tcpi_state); }
+
 }  // namespace
 
 bool hasLeft(tcp::socket& socket) {
@@ -47,6 +51,13 @@
   return ready == 1 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::chrono::milliseconds sinceLastData(tcp::socket& socket) {
+  tcp_info info{};
+  constexpr std::size_t kNeeded = offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
+  if (!socket.is_open() || !tcpInfo(socket.native_handle(), info, kNeeded)) return 0ms;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 std::size_t queuedAt(tcp::acceptor& acceptor) {
   tcp_info info{};
   const bool told = acceptor.is_open() && tcpInfo(acceptor.native_handle(), info);
--- a/src/node/back_pressure.hpp
+++ b/src/node/back_pressure.hpp
@@ -22,6 +22,8 @@
 bool hasLeft(boost::asio::ip::tcp::socket& socket);
 // Whether the other side has ended its sending, also behind bytes that nobody has read.
 bool endedBehind(boost::asio::ip::tcp::socket& socket);
+// How long ago the other side's last bytes came to this machine, read or not; 0 where it does not say.
+std::chrono::milliseconds sinceLastData(boost::asio::ip::tcp::socket& socket);
 // Connections that wait in the kernel at this listener; 0 where it does not say.
 std::size_t queuedAt(boost::asio::ip::tcp::acceptor& acceptor);
 
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -408,6 +408,15 @@
   write();
 }
 
+// What it waited in the machine's queue for its connection to be accepted counts against its client's time.
+// Later ones are read as they come.
+irisring::Time ClientServer::Connection::waitedUnread() {
+  if (!first_ || !tcpTells_) return 0;
+  const double waited = static_cast<double>(sinceLastData(socket_).count());
+  server_.stats_.mostWaited = std::max(server_.stats_.mostWaited, waited);
+  return waited;
+}
+
 void ClientServer::Connection::handleStream() {
   timer_.cancel();
   first_ = false;
@@ -427,6 +436,7 @@
 }
 
 void ClientServer::Connection::handle(ClientMessage&& message) {
+  const irisring::Time waited = waitedUnread();
   first_ = false;
   inBody_ = false;
   bodyDone_ = true;
@@ -440,6 +450,7 @@
     return reject(kNoRoom, server_.turnedAwayFor());
   }
   std::get<Call>(call).holds = cost(0) + requestBytes_;
+  std::get<Call>(call).patience = std::max(0.0, std::get<Call>(call).patience - waited);
   hold(std::get<Call>(call), std::move(message));
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -141,6 +141,9 @@
   bool expects() const;
   void sendContinue();
 
+  // Of a connection's first request: how long its last byte has waited to be read.
+  irisring::Time waitedUnread();
+
   // A body too long to be held: judged by its header, and what has come of it goes along.
   void handleStream();
   void handle(ClientMessage&& message);
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -107,6 +107,7 @@
     unsigned accepted = 0;         // connections taken from the kernel's queue
     unsigned rejected = 0;         // requests answered from here: malformed, too large, too slow
     std::size_t mostBuffered = 0;  // bytes of one connection read and not yet understood
+    double mostWaited = 0;         // ms from a first request's last byte until it was read
   };
 
   ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits,
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -349,8 +349,9 @@
   const auto ended = [&](Result result) { return pool.results[static_cast<std::size_t>(result)]; };
   processLog().info(
       "event=requests served={} refused={} failed={} rejected={} held={} client_connections={} "
-      "most_buffered_client={}",
-      served_, refused_, failed_, server.rejected, held_.size(), server_.connections(), server.mostBuffered);
+      "most_buffered_client={} most_waited_ms={:.0f}",
+      served_, refused_, failed_, server.rejected, held_.size(), server_.connections(), server.mostBuffered,
+      server.mostWaited);
   processLog().info(
       "event=attempts ok={} error={} unreadable={} full={} timeout={} unconnected={} reset={} "
       "reset_reused={} reset_in_answer={} cancelled={} worker_connections={} most_buffered_worker={}",
