Lab: growth of a gatekeeper's needs against the bounds; soak's judge made right in three places

Change: `wingslip-lab growth` plays the usual size and up to 16 times the workers, each as small as that, and prints the six rows with their bounds; fleet.direct_workers leaves out proxies. The judge took a connection's local port alone for its gatekeeper (two connections may share one); news while discovery turns calls away counts 6 s after it can be reached; clients that the fault library aborts are no finding.

--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -9,6 +9,7 @@
 
 #include "distribution_run.hpp"
 #include "fleet.hpp"
+#include "growth_command.hpp"
 #include "run_report.hpp"
 #include "scale_command.hpp"
 #include "soak/command.hpp"
@@ -39,6 +40,7 @@
   wingslip::lab::addDistributionCommand(app);
   wingslip::lab::addScaleCommands(app, options.burlwind);
   wingslip::lab::addSoakCommand(app, options.burlwind);
+  wingslip::lab::addGrowthCommand(app, options.burlwind);
   CLI11_PARSE(app, argc, argv);
   spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
--- a/tools/lab/net.cpp
+++ b/tools/lab/net.cpp
@@ -17,6 +17,7 @@
 constexpr auto kBeat = std::chrono::seconds(2);  // PROTOCOL: an empty line every 2 s while nothing changes
 constexpr std::size_t kPiece = 16384;
 constexpr double kSilentToldMs = 6000;  // STANDING: what a silent watch misses counts as told then
+constexpr double kNever = 1e9;          // ms, past the end of any run
 constexpr double kSecondAnswerMs = 2;   // after the first
 constexpr double kMostRestMs = 400;     // before a connection that rests is closed
 
@@ -70,7 +71,7 @@
     const std::uint64_t id = hexId(idText);
     Error error;
     const tcp::endpoint from = socket_->remote_endpoint(error);
-    const auto link = error ? w_.links_.end() : w_.links_.find(from.port());
+    const auto link = error ? w_.links_.end() : w_.links_.find({w_.port_, from.port()});
     const int gatekeeper = link == w_.links_.end() ? -1 : link->second;
     const std::string body = "lab worker " + std::to_string(w_.index_) + " answers " + idText + "\n";
     w_.judge_.attempt(id, w_.index_, gatekeeper, w_.nowMs_(), body);
@@ -181,6 +182,7 @@
   auto socket = std::make_shared<tcp::socket>(io_);
   acceptor_->async_accept(*socket, [this, socket, acceptor = acceptor_.get()](const Error& error) {
     if (error || acceptor != acceptor_.get()) return;
+    ++accepted_;
     // The proxy acknowledges in its own time, which would hold small writes back on top of the link's delay.
     Error ignored;
     socket->set_option(tcp::no_delay(true), ignored);
@@ -292,6 +294,7 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
                 std::string(size) + line + "\r\n");
             silentSince_.reset();
+            crowdedUntil_ = -kNever;
             for (std::size_t w = 0; w < list_.size(); ++w) toldOf(w);
           } else {
             const std::string body = listJson(true, {});
@@ -321,6 +324,11 @@
   if (!down_ && !untold_.empty()) tell(untold_);
 }
 
+void Agent::setCrowded(bool crowded) {
+  crowded_ = crowded;
+  crowdedUntil_ = crowded ? kNever : nowMs_();
+}
+
 void Agent::endWatches() {
   for (const auto& watch : std::set(watches_)) {
     Error ignored;
@@ -352,7 +360,8 @@
     judge_.drainUndone(gatekeeper_, static_cast<int>(worker));
   else if (heard_)
     judge_.drainTold(gatekeeper_, static_cast<int>(worker),
-                     std::max(nowMs_(), silentSince_ ? *silentSince_ + kSilentToldMs : 0.0));
+                     std::max({nowMs_(), silentSince_ ? *silentSince_ + kSilentToldMs : 0.0,
+                               crowdedUntil_ + kSilentToldMs}));
 }
 
 // Writes what each watch has waiting; with `changed`, a line of those entries first, and their drains to the
@@ -369,6 +378,7 @@
   for (const auto& watch : std::set(watches_)) {
     if (watch->writing || watch->out.empty()) continue;
     watch->writing = true;
+    bytesSaid_ += static_cast<long>(watch->out.front().size());
     auto text = std::make_shared<std::string>(std::move(watch->out.front()));
     watch->out.pop_front();
     asio::async_write(watch->socket, asio::buffer(*text),
@@ -397,7 +407,8 @@
                        Error ignored;
                        self->up.set_option(tcp::no_delay(true), ignored);
                        self->down.set_option(tcp::no_delay(true), ignored);
-                       self->proxy.links_[self->up.local_endpoint(ignored).port()] = self->proxy.gatekeeper_;
+                       self->proxy.links_[{self->proxy.towards_, self->up.local_endpoint(ignored).port()}] =
+                           self->proxy.gatekeeper_;
                        self->pump(self->down, self->up, true);
                        self->pump(self->up, self->down, false);
                      });
--- a/tools/lab/net.hpp
+++ b/tools/lab/net.hpp
@@ -26,8 +26,9 @@
 // A listener on 127.0.0.1; port 0: any free one.
 tcp::acceptor listenAt(asio::io_context& io, unsigned short port = 0);
 
-// Which gatekeeper's link a connection to a worker came over: the proxy's local port of its upstream socket.
-using LinkOf = std::map<unsigned short, int>;
+// Which gatekeeper's link a connection to a worker came over: by the worker's port and the local port of the
+// proxy's upstream socket. Connections to two workers may have the same local port.
+using LinkOf = std::map<std::pair<unsigned short, unsigned short>, int>;
 
 struct WorkerMode {
   bool silent = false;    // takes requests, says nothing
@@ -41,8 +42,9 @@
   Worker(asio::io_context& io, int index, const Scenario& s, Judge& judge, const LinkOf& links,
          std::function<double()> nowMs, std::uint64_t seed);
   unsigned short port() const { return port_; }
-  bool strikes(double share);  // by chance, for a share of the exchanges
-  void restart();              // as a new process under the same address: all connections reset, cold again
+  long accepted() const { return accepted_; }  // connections since the run began
+  bool strikes(double share);                  // by chance, for a share of the exchanges
+  void restart();  // as a new process under the same address: all connections reset, cold again
   WorkerMode mode;
   int inFlight = 0;
 
@@ -59,6 +61,7 @@
   std::unique_ptr<tcp::acceptor> acceptor_;
   unsigned short port_ = 0;
   double startedMs_ = 0;
+  long accepted_ = 0;
   std::set<std::shared_ptr<tcp::socket>> open_;
 };
 
@@ -79,13 +82,15 @@
   void endWatches();
   // All open watches fall silent; others may be opened. What they miss counts as told kSilentToldMs later.
   void silenceWatches();
-  // While crowded every call is answered 503.
-  void setCrowded(bool crowded) { crowded_ = crowded; }
+  // While crowded every call is answered 503; what changes until a watch is open again counts as told
+  // kSilentToldMs after discovery could be reached.
+  void setCrowded(bool crowded);
   // In discovery's form: the whole list, or these entries of it.
   std::string listJson(bool reset, const std::vector<std::size_t>& only) const;
   // Its gatekeeper starts anew. While the agent is silent nothing tells a new process what the agent has
   // (docs/open.md): that counts as told when it speaks again.
   void gatekeeperStarts();
+  long bytesSaid() const { return bytesSaid_; }
   // Whether its gatekeeper can reach it now. What it has counts as told from then on, whether or not a watch
   // is open.
   void setHeard(bool heard);
@@ -103,7 +108,9 @@
   tcp::acceptor acceptor_;
   unsigned short port_;
   long generation_ = 1;
+  long bytesSaid_ = 0;
   bool down_ = false, heard_ = true, crowded_ = false;
+  double crowdedUntil_ = -1e9;         // ms; no watch has been opened since
   bool untoldToNew_ = false;           // its gatekeeper has started while it was silent
   std::optional<double> silentSince_;  // until a watch is opened anew
   std::vector<std::size_t> untold_;
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -12,7 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <fstream>
+#include <iterator>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 
 namespace wingslip::lab {
@@ -125,6 +127,26 @@
   return fd;
 }
 
+ProcessUse useOf(pid_t pid) {
+  ProcessUse out;
+  const std::string at = "/proc/" + std::to_string(pid);
+  std::ifstream status(at + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.rfind("VmHWM:", 0) == 0) out.peakKb = std::stol(line.substr(6));
+  for (std::error_code e; const auto& entry : std::filesystem::directory_iterator(at + "/fd", e))
+    out.descriptors += !entry.is_directory();
+  // utime and stime are the 12th and 13th fields behind the name in brackets (proc(5)).
+  std::ifstream stat(at + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  out.cpuS = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  return out;
+}
+
 void endLeftBehind(const std::filesystem::path& pids) {
   std::ifstream in(pids);
   for (pid_t pid; in >> pid;) {
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -50,6 +50,15 @@
   int misses = 0;
 };
 
+// What a process has used since its start.
+struct ProcessUse {
+  double cpuS = 0;
+  long peakKb = 0, descriptors = 0;
+};
+
+// From /proc; all zero where the process is gone.
+ProcessUse useOf(pid_t pid);
+
 // Starts `program` for it; the process dies with the lab. Throws std::runtime_error where fork fails.
 Process start(Gatekeeper& gatekeeper, const Ports& ports, const std::string& program);
 
--- a/tools/lab/run_report.cpp
+++ b/tools/lab/run_report.cpp
@@ -113,6 +113,14 @@
            {"fates", fateCounts(judge)},
            {"served_ms", servedQuantiles(judge)},
            {"unmet", record.unmet}};
+  if (record.measured > 0) {
+    const double n = record.measured;
+    out["each"] = {{"cpu_s", record.all.cpuS / n},
+                   {"peak_kb", static_cast<double>(record.all.peakKb) / n},
+                   {"descriptors", static_cast<double>(record.all.descriptors) / n},
+                   {"worker_connections", static_cast<double>(record.workerConnections) / n},
+                   {"list_bytes", static_cast<double>(record.listBytes) / n}};
+  }
   if (!record.failedCalls.empty()) out["failed_calls"] = record.failedCalls;
   if (record.store) out["store"] = storeJson(*record.store);
   if (!record.idleClients.empty()) out["idle_clients"] = idleClientsJson(record.idleClients);
--- a/tools/lab/run_report.hpp
+++ b/tools/lab/run_report.hpp
@@ -11,6 +11,7 @@
 #include "idle_clients.hpp"
 #include "judge.hpp"
 #include "plot.hpp"
+#include "process.hpp"
 #include "scenario.hpp"
 
 namespace wingslip::lab {
@@ -48,6 +49,10 @@
   std::uint64_t seed = 1;
   long notSent = 0;  ///< requests for which no gatekeeper was in the front, or too many were in flight
   long mostKb = 0;   ///< peak memory of a gatekeeper
+  ProcessUse all;    ///< of all gatekeepers that ran at the end, added up
+  int measured = 0;  ///< how many these are
+  long workerConnections = 0;                        ///< made to workers by all gatekeepers
+  long listBytes = 0;                                ///< said by all discovery agents
   long mostDescriptors = 0;                          ///< open descriptors of a gatekeeper at the end
   std::map<std::string, std::uint64_t> failedCalls;  ///< by the fault library in all gatekeepers, by kind
   std::vector<StepDone> steps;
--- a/tools/lab/scenario.cpp
+++ b/tools/lab/scenario.cpp
@@ -232,13 +232,17 @@
   s.name = file["name"].value_or(std::string("unnamed"));
   s.lengthS = r.number(file, "length_s", s.lengthS, 1, 3600);
   if (const toml::table* fleet = file["fleet"].as_table()) {
-    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap", "held_sockets", "settings_for",
-                        "config_patch"});
+    r.onlyKeys(*fleet, {"gatekeepers", "workers", "zones", "attempts_cap", "held_sockets", "direct_workers",
+                        "settings_for", "config_patch"});
     s.gatekeepers = r.number(*fleet, "gatekeepers", s.gatekeepers, 1, 1024);
     s.workers = r.number(*fleet, "workers", s.workers, 1, 1024);
     s.settingsFor = r.number(*fleet, "settings_for", s.settingsFor, 1, 1024);
     s.attemptsCap = r.number(*fleet, "attempts_cap", s.attemptsCap, 1, 10);
     s.configPatch = r.jsonObject(*fleet, "config_patch");
+    if (const toml::node* direct = fleet->get("direct_workers")) {
+      if (!direct->is_boolean()) r.bad(direct->source(), "direct_workers is true or false");
+      s.directWorkers = *direct->value<bool>();
+    }
     if (const toml::node* held = fleet->get("held_sockets")) {
       if (!held->is_boolean()) r.bad(held->source(), "held_sockets is true or false");
       s.heldSockets = *held->value<bool>();
@@ -350,6 +354,8 @@
       } else if (kLinkFaults.contains(step.what) && !step.link.empty()) {
         // all gatekeepers' links of that name, or one's
       } else if (kLinkFaults.contains(step.what) || kWorkerFaults.contains(step.what)) {
+        if (kLinkFaults.contains(step.what) && s.directWorkers)
+          r.bad(what->source(), step.what + " needs proxies: fleet.direct_workers is true");
         if (!onWorkers) r.bad(what->source(), step.what + " needs a worker or a zone");
         if (kWorkerFaults.contains(step.what) && step.gatekeeper)
           r.bad(what->source(), step.what + " is a worker's: it takes no gatekeeper");
--- a/tools/lab/scenario.hpp
+++ b/tools/lab/scenario.hpp
@@ -128,10 +128,11 @@
   // them.
   bool replica = false;
   double probeEveryMs = 300, gossipEveryMs = 100, repairEveryMs = 1500;
-  IdleLoad idle;              // `[idle_clients]`
-  RoughLoad rough;            // `[rough_clients]`
-  RoughWorkers roughWorkers;  // `[rough_workers]`
-  bool stateFolders = false;  // every gatekeeper has a $TMPDIR that outlives it; with heldSockets it has one
+  IdleLoad idle;               // `[idle_clients]`
+  RoughLoad rough;             // `[rough_clients]`
+  RoughWorkers roughWorkers;   // `[rough_workers]`
+  bool directWorkers = false;  // no fault proxies on the links to workers: many links cost little
+  bool stateFolders = false;   // every gatekeeper has a $TMPDIR that outlives it; with heldSockets it has one
   bool clientsMayWait = false;  // a stopped process is late by as much: answers past their time are excused
   // `[system]`, or a step of that kind: every gatekeeper runs with the fault library.
   bool faultLibrary = false;
--- a/tools/lab/soak/plan.cpp
+++ b/tools/lab/soak/plan.cpp
@@ -116,7 +116,9 @@
 
   /// One kind of call fails for a while, at one gatekeeper or at all.
   Trouble calls(double atS) {
-    const auto kind = static_cast<CallFault>(below(kCallFaults));
+    auto kind = static_cast<CallFault>(below(kCallFaults));
+    // Its victims are clients that have aborted by themselves, which the judge cannot tell from others.
+    if (kind == CallFault::aborted) kind = CallFault::interrupted;
     Step begin, end;
     if (chance(0.5)) begin.gatekeeper = static_cast<int>(below(size_.gatekeepers));
     begin.atS = atS, begin.what = "calls", begin.call = kind;
