--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -187,6 +187,7 @@
   tell(3, unixNow());
   runFor(50ms);
   std::vector<PeerPtr> asking;
+  asking.reserve(12);
   for (int i = 0; i < 12; ++i) asking.push_back(ask(numbered(i)));
   runFor(200ms);
   EXPECT_LE(worker.count("Req-Id"), 4u);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -4,21 +4,8 @@
 cd "$(dirname "$0")/.."
 . tests/known_red.sh
 
-need=()
-for tool in clang-format clang-tidy cmake g++ git make; do
-  command -v "$tool" >/dev/null || need+=("$tool")
-done
-[ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
-[ -e /usr/include/boost/beast/http.hpp ] || need+=(libboost-dev)
-[ -e /usr/include/nlohmann/json.hpp ] || need+=(nlohmann-json3-dev)
-[ -e /usr/include/CLI/CLI.hpp ] || need+=(libcli11-dev)
-[ -e /usr/include/toml++/toml.h ] || need+=(libtomlplusplus-dev)
-[ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
-[ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
-if [ ${#need[@]} -gt 0 ]; then
-  apt-get update -qq
-  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
-fi
+. tests/packages.sh
+packages_install
 
 # Every source file that git does not ignore, so that a new folder is covered without being named here.
 git ls-files -z --cached --others --exclude-standard '*.cpp' '*.hpp' | xargs -0 clang-format --dry-run --Werror
--- a/tools/lab/rough_clients.cpp
+++ b/tools/lab/rough_clients.cpp
@@ -163,7 +163,7 @@
     }
   }
 
-  void send(std::function<void()> then) {
+  void send(const std::function<void()>& then) {
     noteSent();
     asio::async_write(socket_, asio::buffer(out_), guard([this, then](const Error& error, std::size_t) {
                         if (error) return broken();
