--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -374,9 +374,20 @@
   void progress() {
     clock_.at(clock_.nowMs() / 1000 + 10, [this] {
       if (finishing_) return;
-      spdlog::info("event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={}",
-                   clock_.nowMs() / 1000, s_.lengthS, judge_.requests().size(), load_.inFlight(),
-                   load_.notSent());
+      ProcessUse all;
+      int running = 0;
+      for (const Gatekeeper& gk : gatekeepers_) {
+        if (gk.now.pid <= 0) continue;
+        const ProcessUse use = useOf(gk.now.pid);
+        all.residentKb += use.residentKb, all.descriptors += use.descriptors;
+        ++running;
+      }
+      const double n = std::max(1, running);
+      spdlog::info(
+          "event=progress at_s={:.0f} of_s={} sent={} in_flight={} not_sent={} running={} each_kb={:.0f} "
+          "each_descriptors={:.1f}",
+          clock_.nowMs() / 1000, s_.lengthS, judge_.requests().size(), load_.inFlight(), load_.notSent(),
+          running, static_cast<double>(all.residentKb) / n, static_cast<double>(all.descriptors) / n);
       progress();
     });
   }
--- a/tools/lab/process.cpp
+++ b/tools/lab/process.cpp
@@ -131,8 +131,10 @@
   ProcessUse out;
   const std::string at = "/proc/" + std::to_string(pid);
   std::ifstream status(at + "/status");
-  for (std::string line; std::getline(status, line);)
+  for (std::string line; std::getline(status, line);) {
     if (line.rfind("VmHWM:", 0) == 0) out.peakKb = std::stol(line.substr(6));
+    if (line.rfind("VmRSS:", 0) == 0) out.residentKb = std::stol(line.substr(6));
+  }
   for (std::error_code e; const auto& entry : std::filesystem::directory_iterator(at + "/fd", e))
     out.descriptors += !entry.is_directory();
   // utime and stime are the 12th and 13th fields behind the name in brackets (proc(5)).
--- a/tools/lab/process.hpp
+++ b/tools/lab/process.hpp
@@ -53,7 +53,7 @@
 // What a process has used since its start.
 struct ProcessUse {
   double cpuS = 0;
-  long peakKb = 0, descriptors = 0;
+  long peakKb = 0, residentKb = 0, descriptors = 0;
 };
 
 // From /proc; all zero where the process is gone.
--- a/tools/lab/soak/plan.cpp
+++ b/tools/lab/soak/plan.cpp
@@ -12,6 +12,7 @@
 constexpr double kHourMs = 3600 * 1000;
 constexpr double kFirstAtS = 2;               // the fleet serves before the first trouble
 constexpr double kTroubleWithinS = 1;         // of one episode: between the beginnings of its troubles
+constexpr double kMoreEpisodesEveryS = 30;    // of a longer run: one episode more
 constexpr double kLastBeforeEndS = 6;         // so that each trouble ends within the run
 constexpr double kRestartAfterFinishS = 4.2;  // a process that ends in order has ended by then
 constexpr double kDelayMs = 300;
@@ -288,7 +289,8 @@
   Draw draw(size, out.base, seed ^ 0x5851f42d4c957f2dULL);
   const double last = size.seconds - kLastBeforeEndS;
   const double first = draw.chance(0.3) ? size.seconds / 2 : kFirstAtS;
-  const std::size_t episodes = 2 + draw.below(2);
+  const std::size_t episodes =
+      2 + draw.below(2) + static_cast<std::size_t>(size.seconds / kMoreEpisodesEveryS);
   for (std::size_t i = 0; i < episodes; ++i) {
     const double atS = draw.between(std::min(first, last - 1), last);
     for (std::size_t left = 2 + draw.below(2); left > 0; --left)
--- a/tools/lab/soak/plan.hpp
+++ b/tools/lab/soak/plan.hpp
@@ -34,8 +34,9 @@
   Scenario scenario(const std::set<std::size_t>& without) const;
 };
 
-/// The same for the same seed and size: two or three episodes, in each of which two or three troubles begin
-/// within a second of each other. On some seeds all is quiet for the first half.
+/// The same for the same seed and size: two or three episodes, more in a run past half a minute, in each of
+/// which two or three troubles begin within a second of each other. On some seeds all is quiet for the first
+/// half.
 SoakPlan soakPlan(const SoakSize& size, std::uint64_t seed);
 
 }  // namespace wingslip::lab
