--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -91,6 +91,20 @@
   EXPECT_NE(call("telemetry").find("svc.hosts_down:1|g"), std::string::npos);
 }
 
+// The machine may have no descriptor for a socket in the moment of the start.
+TEST_F(UnderFaults, AStartWaitsForDescriptorsThatAreShortForAMoment) {
+  SystemFaults faults;
+  faults.shares[CallFault::socket] = 1;
+  ProgramUnderFaults program(folder, config(), faults);
+  until([&] { return program.faults->injected()[CallFault::socket] > 0 || program.ended(); },
+        "a failed call");
+  io.restart();
+  io.run_for(500ms);
+  ASSERT_FALSE(program.ended()) << "ended with status " << program.status;
+  program.faults->setShare(CallFault::socket, 0);
+  untilReady();
+}
+
 // A request that stood in the machine's queue has less time left than its client said.
 TEST_F(UnderFaults, TheDeadlinePassedOnIsLessByWhatARequestWaitedToBeAccepted) {
   ProgramUnderFaults program(folder, config(), {});
