Start: a shortage of descriptors or memory as listeners open is waited out

Cause: ClientServer::start and OpsServer::start threw at the first error of socket (ENFILE, ENOBUFS, ENOMEM), and main ended the process.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "node/client_connection.hpp"
+#include "node/listener.hpp"
 
 namespace burlwind {
 namespace {
@@ -20,13 +21,6 @@
 constexpr auto kUnreadPause = 1ms;   // for the handler of what has come on a connection that is to give way
 constexpr auto kStopPause = 10ms;    // the same where the listener is about to close
 
-// Whether accept failed for want of something that this machine has to have free again first: the connection
-// stays in the machine's queue.
-bool isShortage(const Error& error) {
-  return error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
-         error == asio::error::no_memory || error == boost::system::errc::too_many_files_open_in_system;
-}
-
 // Whether the machine's queue is empty. Any other error but a shortage is that of one connection, or of an
 // interrupted call: the next accept may succeed (accept(2), "Error handling").
 bool isQueueEmpty(const Error& error) {
@@ -68,16 +62,11 @@
   try {
     if (inherited) {
       acceptor_.assign(config_.listen.protocol(), config_.acceptFd);
+      tellOfAbortedConnections(acceptor_);
     } else {
-      acceptor_.open(config_.listen.protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(config_.listen);
-      acceptor_.listen();
+      openListener(acceptor_, config_.listen);
     }
     acceptor_.non_blocking(true);
-    // Without it Asio waits for the next connection, and with it the whole process, after one that was
-    // aborted while it stood in the queue.
-    acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen: ") + error.what());
   }
--- a/src/node/ops_server.cpp
+++ b/src/node/ops_server.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "node/guarded_connection.hpp"
+#include "node/listener.hpp"
 #include "node/socket_io.hpp"
 
 namespace burlwind {
@@ -94,12 +95,7 @@
 
 void OpsServer::start(const tcp::endpoint& at) {
   try {
-    acceptor_.open(at.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    // Without it Asio leaves the rest of the queue until the next connection comes.
-    acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
-    acceptor_.bind(at);
-    acceptor_.listen();
+    openListener(acceptor_, at);
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen for operators: ") + error.what());
   }
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -14,6 +14,7 @@
 #include "node/durable_file.hpp"
 #include "node/guarded_connection.hpp"
 #include "node/http.hpp"
+#include "node/listener.hpp"
 #include "node/socket_io.hpp"
 
 namespace burlwind::replica {
@@ -190,7 +191,6 @@
   Error error;
   acceptor_.open(where_.listen.protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true), error);
   if (!error) acceptor_.bind(where_.listen, error);
   if (!error) acceptor_.listen(128, error);
   if (error) {
@@ -202,6 +202,7 @@
       if (!stopped && !draining_) listen();
     });
   }
+  tellOfAbortedConnections(acceptor_);
   accept();
   startedAt_ = now();
   core_->start(startedAt_);
