Counts by reason: one template for closes and attempts that were not sent; one way to await an end

Change: ReasonCounts; the lab's rough clients share what a peer without a request is owed. Found by reading the change for what stands twice. No figure's name changes.

--- a/src/node/close_reason.hpp
+++ b/src/node/close_reason.hpp
@@ -4,9 +4,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 
+#include "node/reason_counts.hpp"
+
 namespace burlwind {
 
 enum class CloseReason : std::uint8_t {
@@ -26,7 +27,7 @@
 constexpr std::size_t kCloseReasons = static_cast<std::size_t>(CloseReason::process_end) + 1;
 
 /// As figures name them, in the order of CloseReason.
-constexpr std::array<std::string_view, kCloseReasons> kCloseReasonNames{
+inline constexpr std::array<std::string_view, kCloseReasons> kCloseReasonNames{
     "peer_ended", "peer_broken",   "idle",         "evicted",        "evicted_silent", "last_answer",
     "sends_on",   "write_timeout", "body_timeout", "malformed_body", "answer_cut",     "process_end"};
 static_assert(!kCloseReasonNames.back().empty(), "every reason has a name");
@@ -36,21 +37,6 @@
   return reason == CloseReason::peer_ended || reason == CloseReason::peer_broken;
 }
 
-/// Counts of each reason since the process's start.
-class CloseCounts {
- public:
-  void add(CloseReason reason) { ++counts_[static_cast<std::size_t>(reason)]; }
-  std::uint64_t of(CloseReason reason) const { return counts_[static_cast<std::size_t>(reason)]; }
-  /// Lines `svc.close.NAME:VALUE|c`.
-  std::string telemetry() const {
-    std::string out;
-    for (std::size_t i = 0; i < kCloseReasons; ++i)
-      out += "svc.close." + std::string(kCloseReasonNames[i]) + ":" + std::to_string(counts_[i]) + "|c\n";
-    return out;
-  }
-
- private:
-  std::array<std::uint64_t, kCloseReasons> counts_{};
-};
+using CloseCounts = ReasonCounts<CloseReason, kCloseReasonNames>;
 
 }  // namespace burlwind
--- a/src/node/gatekeeper_operators.cpp
+++ b/src/node/gatekeeper_operators.cpp
@@ -45,8 +45,9 @@
   figures.shortHere = pool_.shortHere();
   figures.refusals = gateway_.refusals();
   return telemetryText(figures, {held_.size(), census.listed, census.avoided},
-                       monitor_.telemetry() + server_.closes().telemetry() + sendRefusals_.telemetry() +
-                           pressure_.telemetry() + (coordinator_ ? coordinator_->telemetry() : "") +
+                       monitor_.telemetry() + server_.closes().telemetry("close") +
+                           sendRefusals_.telemetry("not_sent", 1) + pressure_.telemetry() +
+                           (coordinator_ ? coordinator_->telemetry() : "") +
                            (replica_ ? replica_->telemetry() : ""));
 }
 
--- /dev/null
+++ b/src/node/reason_counts.hpp
@@ -0,0 +1,32 @@
+/// Counts by a typed reason since the process's start.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace burlwind {
+
+/// `Reason`: an enumeration from 0 whose values `Names` names in their order.
+template <class Reason, const auto& Names>
+class ReasonCounts {
+ public:
+  void add(Reason reason) { ++counts_[static_cast<std::size_t>(reason)]; }
+  std::uint64_t of(Reason reason) const { return counts_[static_cast<std::size_t>(reason)]; }
+
+  /// Lines `svc.KIND.NAME:VALUE|c`, from the reason `first` on.
+  std::string telemetry(std::string_view kind, std::size_t first = 0) const {
+    std::string out;
+    for (std::size_t i = first; i < counts_.size(); ++i)
+      out += "svc." + std::string(kind) + "." + std::string(Names[i]) + ":" + std::to_string(counts_[i]) +
+             "|c\n";
+    return out;
+  }
+
+ private:
+  std::array<std::uint64_t, Names.size()> counts_{};
+};
+
+}  // namespace burlwind
--- a/src/node/send_guard.hpp
+++ b/src/node/send_guard.hpp
@@ -4,9 +4,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 
+#include "node/reason_counts.hpp"
+
 namespace burlwind {
 
 /// Asked in the moment in which an attempt's first byte could be written: between the decision and that
@@ -22,24 +23,10 @@
 constexpr std::size_t kSendRefusals = static_cast<std::size_t>(SendRefusal::worker_excluded) + 1;
 
 /// As figures name them, in the order of SendRefusal; the first is no refusal.
-constexpr std::array<std::string_view, kSendRefusals> kSendRefusalNames{
+inline constexpr std::array<std::string_view, kSendRefusals> kSendRefusalNames{
     "none", "request_over", "client_gone", "time_over", "worker_left", "worker_excluded"};
 static_assert(!kSendRefusalNames.back().empty(), "every reason has a name");
 
-/// Counts of each reason since the process's start.
-class SendRefusals {
- public:
-  void add(SendRefusal reason) { ++counts_[static_cast<std::size_t>(reason)]; }
-  /// Lines `svc.not_sent.NAME:VALUE|c`.
-  std::string telemetry() const {
-    std::string out;
-    for (std::size_t i = 1; i < kSendRefusals; ++i)
-      out += "svc.not_sent." + std::string(kSendRefusalNames[i]) + ":" + std::to_string(counts_[i]) + "|c\n";
-    return out;
-  }
-
- private:
-  std::array<std::uint64_t, kSendRefusals> counts_{};
-};
+using SendRefusals = ReasonCounts<SendRefusal, kSendRefusalNames>;
 
 }  // namespace burlwind
--- a/tools/lab/rough_clients.cpp
+++ b/tools/lab/rough_clients.cpp
@@ -253,24 +253,21 @@
                       guard([this](const Error&, std::size_t) { leaveLater(); }));
   }
 
-  /// Stops and stays: an error or a close is owed within kStoppedMs.
+  /// Stops and stays.
   void stopInTheMiddle() {
     out_ = ask();
     out_.resize(1 + random_() % (out_.size() - 2));
     waiting_.clear();
-    const double since = all_.clock_.nowMs();
-    asio::async_write(socket_, asio::buffer(out_), guard([this, since](const Error& error, std::size_t) {
-                        if (error) return unsent();
-                        wait(kStoppedMs, [this, since] {
-                          all_.judge_.leftHanging(gatekeeper_, since, all_.clock_.nowMs());
-                          endConnection();
-                        });
-                        awaitEnd();
-                      }));
+    sendAndAwaitEnd();
   }
 
   void sendNonsense() {
     out_ = "NONSENSE " + std::to_string(random_()) + "\r\n\r\n";
+    sendAndAwaitEnd();
+  }
+
+  /// What is no request: an error or a close is owed within kStoppedMs.
+  void sendAndAwaitEnd() {
     const double since = all_.clock_.nowMs();
     asio::async_write(socket_, asio::buffer(out_), guard([this, since](const Error& error, std::size_t) {
                         if (error) return unsent();
