--- a/tools/lab/fleet.cpp
+++ b/tools/lab/fleet.cpp
@@ -260,6 +260,7 @@
     const std::string name = "g" + std::to_string(g);
     gk.index = g, gk.port = ports_.listen(g);
     gk.config = out / (name + ".json"), gk.log = out / (name + ".log");
+    fs::remove(gk.log);  // of an earlier run in this folder
     if (s_.faultLibrary) gk.faults = std::make_shared<FaultFile>(out / (name + ".faults"), s_.system);
     if (s_.heldSockets) {
       gk.held = holdSocket(gk.port);
@@ -432,7 +433,7 @@
                const bool inForce =
                    answer.rfind("200", 0) == 0 || answer.find("not kept yet") != std::string::npos;
                if (step.what == "exclude" && inForce) judge_.excluded(g, w, clock_.nowMs());
-               const bool ended = gatekeepers_[g].now.pid != pid || gatekeepers_[g].stopped;
+               const bool ended = pid <= 0 || gatekeepers_[g].now.pid != pid || gatekeepers_[g].stopped;
                if (answer.rfind("200", 0) != 0 && !ended && !diskFails_.contains(g))
                  record_.crashes.push_back("line " + std::to_string(step.line) + ": " + step.what +
                                            " was answered " +
