--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -144,6 +144,32 @@
   for (const auto& [worker, count] : sharers) EXPECT_GE(count, 3u) << worker;
 }
 
+// Workers that drain for a while leave the others where they are: no gateway has to open connections to
+// workers that it did not use before.
+TEST(Fleet, WorkersThatDrainMoveNoOthers) {
+  Settings s = settings();
+  s.gateways = 40, s.self = 37;
+  s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+  Bench b(s);
+  std::vector<Member> list = workers(416);
+  b.list(list);
+  const auto used = [&] {
+    std::set<WorkerId> out;
+    for (int i = 0; i < 800; ++i) {
+      b.now += 50;
+      const RequestId id = b.ask(2, 0, b.last, 1, s.gateways);
+      if (!b.wasSent(id)) continue;
+      out.insert(b.lastWorker());
+      b.end(id, Result::ok, 50);
+    }
+    return out;
+  };
+  const std::set<WorkerId> before = used();
+  for (std::size_t i = 0; i < list.size(); i += 8) list[i].phase = Phase::draining;
+  b.list(list);
+  for (const WorkerId worker : used()) EXPECT_TRUE(before.contains(worker)) << worker;
+}
+
 // The budget of a cold worker holds over all gateways together, though only some of them use it, and is used.
 TEST(Fleet, TogetherGatewaysKeepToAColdWorkersBudgetAndUseIt) {
   Settings s = settings();
