Choice of workers: one that drains keeps its place in the deal, so that the others stay where they are

Cause: assign (decide.cpp) dealt out the ready workers alone: each drain and its end shifted the blocks of all. Change: listed workers are dealt out, draining ones among them; they are sent nothing as before.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -874,7 +874,7 @@
   void assign() {
     std::vector<std::pair<std::uint64_t, Worker*>> order;
     for (Worker& w : workers_)
-      if (w.listed.phase == Phase::ready) order.emplace_back(0, &w);
+      if (w.listed.phase != Phase::gone) order.emplace_back(0, &w);  // one that drains keeps its place
     const std::size_t n = order.size();
     subsets_ = subsetsOf(static_cast<unsigned>(n));
     for (auto& [hash, w] : order) w->own = subsets_ == 1;
