--- a/tools/lab/judge.cpp
+++ b/tools/lab/judge.cpp
@@ -56,11 +56,8 @@
   const auto found = requests_.find(id);
   if (found == requests_.end()) return breaks(Rule::answered_twice, "an answer for a request never sent");
   Request& r = found->second;
-  if (r.fate != Fate::open) {
-    // The answer may still be on its way to a client that has just gone.
-    if (r.fate == Fate::left || r.fate == Fate::lost) return;
+  if (r.fate != Fate::open)
     return breaks(Rule::answered_twice, "request " + std::to_string(id) + " answered twice");
-  }
   r.endMs = atMs, r.status = status;
   if (status == 200) {
     const auto made = bodies_.find(id);
