Overload metrics: count the client reads that wait at a full buffer

The metrics could not tell a read that is paused at a full input buffer from one that is pending without a timer: `watchPeer` had no wait queue.

--- a/src/net/overload_manager.cpp
+++ b/src/net/overload_manager.cpp
@@ -137,6 +137,7 @@
   reader.owner_ = std::move(owner);
   reader.resume_ = nullptr;
   reader.checkPeer_ = std::move(checkPeer);
+  reader.queueEntry_.enter(waitQueues_, WaitQueue::fullBuffer, now());
   watchedReaders_.push_back(reader);
   scheduleTick();
 }
--- a/src/net/overload_manager.hpp
+++ b/src/net/overload_manager.hpp
@@ -88,8 +88,8 @@
   /// @param checkPeer called every 250 ms; may be null
   void pauseUntilMemory(PausedRead& reader, Account account, std::weak_ptr<void> owner,
                         std::function<bool()> resume, std::function<void()> checkPeer);
-  /// Watches the peer of a read that is paused for another reason than memory: only `checkPeer` is called,
-  /// every 250 ms.
+  /// Watches the peer of a read that is paused because its buffer is full: only `checkPeer` is called, every
+  /// 250 ms.
   void watchPeer(PausedRead& reader, std::weak_ptr<void> owner, std::function<void()> checkPeer);
 
   /// @return whether memory is overloaded; request bodies must then not be read ahead.
--- a/src/overload/wait_queues.hpp
+++ b/src/overload/wait_queues.hpp
@@ -18,6 +18,7 @@
   freeConnection,      ///< accepted connections that wait while all connections are busy
   incompleteRequest,   ///< requests whose header or next piece of the body is still arriving
   pausedRead,          ///< reads that are paused for lack of memory
+  fullBuffer,          ///< reads of clients that are paused because their input buffer or body window is full
   inFlight,            ///< requests in the decision module
   connecting,          ///< attempts whose connection is being established
   awaitingResponse,    ///< attempts that are sent and not answered
@@ -31,9 +32,9 @@
 constexpr std::size_t kWaitQueues = static_cast<std::size_t>(WaitQueue::eventLoop) + 1;
 /// Queue names as in the `svc.wait` metrics, the log and docs/design.md, in the order of `WaitQueue`.
 constexpr std::array<std::string_view, kWaitQueues> kWaitQueueNames{
-    "accept_queue", "no_room",        "half_read",   "paused_read",   "held",
-    "connecting",   "attempt_out",    "body_window", "answer_window", "answer_write",
-    "ops_caller",   "discovery_line", "loop"};
+    "accept_queue", "no_room",    "half_read",      "paused_read", "full_buffer",
+    "held",         "connecting", "attempt_out",    "body_window", "answer_window",
+    "answer_write", "ops_caller", "discovery_line", "loop"};
 static_assert(!kWaitQueueNames.back().empty(), "every queue has a name");
 
 /// Counts the entries of each queue; it schedules nothing. Owned by the OverloadManager and used from the
--- a/tests/overload_process_test.cpp
+++ b/tests/overload_process_test.cpp
@@ -28,6 +28,10 @@
   workerConnection("00000000000000a1")
       ->send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x'));
   waitUntil([&] { return client->received.size() > 100000; }, "a long response");
+  const auto pipeliningClient = sendSmallRequest("00000000000000a2");
+  pipeliningClient->sendBytes(32 * 1024);
+  waitUntil([&] { return waiting(WaitQueue::fullBuffer) == 1; },
+            "a client that sends more than is read ahead");
   const auto incompleteClient = sendRequest(longRequestHeader(60000));
   fillMemory(8 * 1024, true);
   incompleteClient->sendBytes(60000);
@@ -40,6 +44,7 @@
   };
   for (const char* call : {"readyz", "telemetry"}) EXPECT_FALSE(operatorCall(call).empty());
   client->close();
+  pipeliningClient->reset();
   bodyClient->close();  // now no idle connection can be closed for a new one
   const auto deadline = std::chrono::steady_clock::now() + 20s;
   while (!allReported() && std::chrono::steady_clock::now() < deadline) {
