Limit chunk lines and trailers of requests, and keep the time limit of a body that is read

Cause: Beast's limits cover neither chunk lines nor trailers, which it consumes only whole. From 16 KiB unparsed bytes on `canBufferInput` was false, so `read` cancelled the timer of the body and waited for nobody; nothing could empty the buffer but the bytes that were not read. After a streamed part the buffer grew without limit instead. Change: `parseBuffered` turns down a message with more than `kMaxHeaderBytes` unparsed bytes (431), on all three sides that use it; the copies of this check for workers and discovery are gone. While a request is being read its buffer cannot be full, so that its time limit is never cancelled. Requests with chunk extensions and trailers of 12,000 bytes are served as before.

--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -31,7 +31,7 @@
   if (reading_) return;
   const bool awaitingBody = !bodyDone_ && (state_ == State::reading || state_ == State::inFlight);
   if (!canBufferInput()) {
-    if (awaitingBody) timer_.cancel();
+    if (awaitingBody) timer_.cancel();  // not the client's delay: the attempt's time limits apply
     return server_.overloadManager_.watchPeer(pausedRead_, weak_from_this(), [this] { checkDisconnect(); });
   }
   if (!reserveReadMemory()) return waitForMemory(awaitingBody);
@@ -84,8 +84,11 @@
   return memory_.resize(memoryBytes(readSize()));
 }
 
+// While a request is being read, its parser needs more bytes and its limits bound the buffer. Only the
+// requests behind the one in flight and the window of a streamed body can fill it.
 bool ClientServer::Connection::canBufferInput() const {
-  if (!bodyDone_ && state_ != State::reading) return parser_->get().body().size() < kStreamReadBytes;
+  if (state_ == State::reading) return true;
+  if (!bodyDone_) return parser_->get().body().size() < kStreamReadBytes;
   return input_.size() < kMaxReadAhead;
 }
 
--- a/src/gatekeeper/discovery_client.cpp
+++ b/src/gatekeeper/discovery_client.cpp
@@ -196,8 +196,7 @@
   void onInput() {
     Error error;
     const bool responseEnded = parseBuffered(*parser_, input_, error);
-    if (error || (!responseEnded && input_.size() > kMaxHeaderBytes))
-      return connectionLost("malformed HTTP response from the agent");
+    if (error) return connectionLost("malformed HTTP response from the agent");
     if (parser_->is_header_done() && parser_->get().result() != http::status::ok) {
       logRetry("the agent rejected the watch request");
       return perform(watch_.onRejected(OverloadManager::now()));
--- a/src/gatekeeper/upstream_response.cpp
+++ b/src/gatekeeper/upstream_response.cpp
@@ -61,9 +61,6 @@
     reset();
     complete = parseBuffered(*parser_, input_, error);
   }
-  // The parser's limits cover neither chunk extensions nor the trailer, which could otherwise grow without
-  // bound.
-  if (!error && !complete && input_.size() > kMaxHeaderBytes) error = http::error::header_limit;
   if (error || isPremature(request)) return State::malformed;
   return complete ? State::complete : State::incomplete;
 }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -21,7 +21,8 @@
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{32} * 1024 * 1024;  ///< limit for requests and responses
 constexpr std::size_t kMaxBufferedBodyBytes = 64 * 1024;              ///< longer bodies are streamed
-constexpr std::size_t kMaxHeaderBytes = 16 * 1024;                    ///< limit for requests and responses
+/// Limit for a header, a chunk line and a trailer, of requests and responses.
+constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
 constexpr std::size_t kReadBytes = 4096;             ///< size of one read, except of a streamed body
 constexpr std::size_t kStreamReadBytes = 16 * 1024;  ///< size of one read of a streamed body
 
@@ -58,6 +59,9 @@
 ///
 /// The parser's eager mode is disabled: an eager parser continues with body bytes received together with the
 /// header, and does not report that the header had exceeded its limit.
+///
+/// The parser's own limits do not cover chunk lines and trailers, which it consumes only as a whole. A
+/// message of which more than `kMaxHeaderBytes` bytes remain unparsed is therefore invalid (`header_limit`).
 /// @return whether the message is complete; `error` is set if it is invalid
 template <class Parser>
 bool parseBuffered(Parser& parser, beast::flat_buffer& in, Error& error) {
@@ -67,10 +71,11 @@
     in.consume(used);
     if (error == http::error::need_more) {
       error = {};
-      if (used == 0) return false;
+      if (used == 0) break;
     }
     if (error) return false;
   }
+  if (!parser.is_done() && in.size() > kMaxHeaderBytes) error = http::error::header_limit;
   return parser.is_done();
 }
 
--- /dev/null
+++ b/tests/incomplete_message_test.cpp
@@ -0,0 +1,89 @@
+// Requests and responses that stop before their end: what ends them, and within which time.
+#include <algorithm>
+#include <chrono>
+
+#include "overload_fixture.hpp"
+
+namespace wingslip::test {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto kBadClientTimeout = 3s;  // from the connect to an error or a close
+
+class IncompleteMessages : public OverloadFixture {
+ protected:
+  void SetUp() override {
+    json config = configuration();
+    config["limits"]["memory_mb"] = 64;
+    startGatekeeper(config);
+  }
+  // A POST with a chunked body, whose chunk lines and trailer are part of `body`.
+  static std::string chunkedRequest(const std::string& body) {
+    TestRequest request;
+    request.requestClass = "edit";
+    request.extra = "Transfer-Encoding: chunked\r\n";
+    std::string text = request.text();
+    text.erase(text.find("Content-Length: 0\r\n"), 19);
+    return text + body;
+  }
+  static std::string longChunk() { return "13880\r\n" + std::string(80000, 'y') + "\r\n"; }
+  // The beginning of a chunk line or a trailer, `bytes` bytes long and without an end.
+  static std::string unfinishedChunkLine(std::size_t bytes) {
+    return "3;note=" + std::string(bytes - 7, 'x');
+  }
+  static std::string unfinishedTrailer(std::size_t bytes) {
+    return "0\r\nNote: " + std::string(bytes - 9, 'x');
+  }
+  static bool allAnswered(const std::vector<PeerPtr>& clients) {
+    return std::all_of(clients.begin(), clients.end(), [](const PeerPtr& client) {
+      return client->has("HTTP/1.1 ") || client->closedByPeer;
+    });
+  }
+};
+
+// Guards against peers that stop in the middle of a long chunk line or trailer and keep their connections for
+// ever, until no other client gets one.
+TEST_F(IncompleteMessages, APeerThatStopsInAChunkLineOrTrailerGetsAnErrorInTime) {
+  std::vector<PeerPtr> peers;
+  const auto connectedAt = Clock::now();
+  for (const std::size_t bytes : {std::size_t{1000}, kMaxHeaderBytes - 1, kMaxHeaderBytes,
+                                  kMaxHeaderBytes + 1, std::size_t{18000}, std::size_t{40000}}) {
+    peers.push_back(sendRequest(chunkedRequest(unfinishedChunkLine(bytes))));
+    peers.push_back(sendRequest(chunkedRequest("3\r\nbuy\r\n" + unfinishedTrailer(bytes))));
+    peers.push_back(sendRequest(chunkedRequest(longChunk() + unfinishedChunkLine(bytes))));
+    peers.push_back(sendRequest(chunkedRequest(longChunk() + unfinishedTrailer(bytes))));
+  }
+  waitUntil([&] { return allAnswered(peers); }, "an error or a close for every peer");
+  EXPECT_LT(Clock::now() - connectedAt, kBadClientTimeout);
+  for (const PeerPtr& peer : peers) EXPECT_TRUE(peer->has("HTTP/1.1 4")) << peer->received;
+  waitUntil([&] { return gatekeeper->requestsInFlight() == 0; }, "the end of every request");
+}
+
+// Guards against a chunk line or trailer without an end that fills the memory after a streamed part of a
+// body.
+TEST_F(IncompleteMessages, AChunkLineOrTrailerBeyondTheLimitIsRejectedWhileItArrives) {
+  std::vector<PeerPtr> peers;
+  for (const std::string& beginning : {std::string("3\r\nbuy\r\n"), longChunk()})
+    for (const std::string& end : {unfinishedChunkLine(40000), unfinishedTrailer(40000)})
+      for (const std::string& rest : {std::string(), std::string("\r\nbuy\r\n0\r\n\r\n")})
+        peers.push_back(sendRequest(chunkedRequest(beginning + end + rest)));
+  waitUntil([&] { return allAnswered(peers); }, "a rejection of every request");
+  for (const PeerPtr& peer : peers) EXPECT_TRUE(peer->has("HTTP/1.1 431")) << peer->received;
+}
+
+TEST_F(IncompleteMessages, ChunkExtensionsAndTrailersWithinTheLimitAreServed) {
+  for (const std::string& beginning : {std::string(), longChunk()}) {
+    const auto client = sendRequest(chunkedRequest(beginning));
+    client->send(unfinishedChunkLine(12000) + "\r\nbuy\r\n" + unfinishedTrailer(12000) + "\r\n\r\n");
+    const auto workerPeer = workerConnection("00000000000000a1");
+    waitUntil([&] { return workerPeer->has("buy"); }, "the end of the body at the worker");
+    workerPeer->send(httpResponse("200 OK", "taken"));
+    waitUntil([&] { return client->has("taken"); }, "the response");
+    workerPeer->received.clear();
+  }
+}
+
+}  // namespace
+}  // namespace wingslip::test
