Bound the time for which a streamed request body waits for memory

What callers saw: an upload whose read found no memory got no answer while memory stayed short, also when all its bytes had been sent. Cause: `waitForMemory` cancelled the body's timer of a request in flight. Its worker waits for the next piece without a timer, and the request's deadline starts with its last byte, so nothing was left but shedding, which spares what stands between the watermarks and what lies in the kernel's buffers unseen. Change: the limit of a buffered body, `maxMemoryWait` (1 s), holds for a streamed one too. The request gets 503 and counts as rejected: no worker has its last byte. `RequestHandler::onBodyRejected` ends it at the gatekeeper.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -138,8 +138,9 @@
 
 void ClientServer::Connection::onTimer() {
   // The read is paused for lack of memory, so the request is rejected for capacity, not as too slow.
-  if (state_ == State::reading && requestStarted() && pausedRead_.isRegistered())
+  if (state_ == State::reading && requestStarted() && pausedRead_.awaitsMemory())
     return rejectForCapacity(WaitQueue::pausedRead);
+  if (state_ == State::inFlight && !bodyDone_ && pausedRead_.awaitsMemory()) return rejectPausedBody();
   if (state_ == State::reading && requestStarted()) {
     countRejection(WaitQueue::incompleteRequest);
     return reject({http::status::request_timeout, "too slow"});
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -157,6 +157,8 @@
   void respondReadiness(http::verb method);
   void reject(const ImmediateResponse& rejection, decision::Time retryAfterMs = 0);
   void rejectForCapacity(WaitQueue queue);
+  void rejectPausedBody();
+  void respondNoCapacity();
   void rejectSlowBody();
   void write();
   void onWritten();
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -45,12 +45,10 @@
                      guard([this](const Error& error, std::size_t) { onReadable(error); }));
 }
 
-// Pauses reading, and the time limit of a body in flight, until memory is available. A request whose body is
-// still being buffered is rejected if it gets no memory within `maxMemoryWait`; the time limit of
-// a header is unchanged.
+// Pauses reading until memory is available. A request whose body gets no memory within `maxMemoryWait` is
+// rejected; the time limit of a header is unchanged.
 void ClientServer::Connection::waitForMemory(bool awaitingBody) {
-  if (state_ == State::reading && awaitingBody) armTimer(server_.limits_.maxMemoryWait);
-  if (state_ == State::inFlight && awaitingBody) timer_.cancel();
+  if (awaitingBody) armTimer(server_.limits_.maxMemoryWait);
   const auto retry = [this] {
     if (state_ == State::closed) return true;
     if (!reserveReadMemory()) return false;
--- a/src/gatekeeper/client_connection_writing.cpp
+++ b/src/gatekeeper/client_connection_writing.cpp
@@ -91,7 +91,18 @@
     if (const auto* request = std::get_if<ParsedRequest>(&parsed))
       server_.handler_.onRequestRejected(request->classIndex);
   }
-  bodyDone_ = true;
+  respondNoCapacity();
+}
+
+// Ends a request in flight whose streamed body gets no memory. It has not run: no worker has its last byte.
+void ClientServer::Connection::rejectPausedBody() {
+  countRejection(WaitQueue::pausedRead);
+  server_.handler_.onBodyRejected(requestId_);
+  respondNoCapacity();
+}
+
+void ClientServer::Connection::respondNoCapacity() {
+  bodyDone_ = true;  // no more of the body is awaited
   closeAfterResponse_ = true;
   reject(kNoCapacity, server_.rejectionRetryAfterMs());
 }
--- a/src/gatekeeper/client_server.hpp
+++ b/src/gatekeeper/client_server.hpp
@@ -37,7 +37,7 @@
     std::size_t overflowSlots() const { return std::min<std::size_t>(8, maxConnections / 16); }
     std::chrono::milliseconds overflowDelay{500};     ///< time without capacity until overflow starts
     std::chrono::milliseconds minOverflowTime{1000};  ///< age from which an overflow connection is evictable
-    std::chrono::milliseconds maxMemoryWait{1000};    ///< longest wait for memory to buffer a request body
+    std::chrono::milliseconds maxMemoryWait{1000};    ///< longest wait for memory to read on a request body
     std::chrono::milliseconds minIdleTime{2000};   ///< idle time from which overload may close a connection
     std::chrono::milliseconds idleTimeout{75000};  ///< between two requests of a connection
     // A peer that sends no complete request must get an error or a close within 3 s of connecting; the
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -70,6 +70,7 @@
   OverloadManager& overloadManager() { return overloadManager_; }
 
  private:
+  using RequestTable = std::unordered_map<decision::RequestId, RequestInFlight>;
   using SteadyTime = std::chrono::steady_clock::time_point;
 
   // RequestHandler
@@ -77,6 +78,7 @@
   void onRequest(decision::RequestId id, const ParsedRequest& parsed, ClientMessage&& message,
                  const std::shared_ptr<Responder>& responder) override;
   void onClientDisconnect(decision::RequestId id) override;
+  void onBodyRejected(decision::RequestId id) override;
   void onRequestRejected(unsigned classIndex) override;
   void onClosedUnanswered(CloseReason reason) override;
 
@@ -135,6 +137,7 @@
   void onDeadline(decision::RequestId id);
   void readBody(decision::RequestId id, AttemptRequest::BodyPieceHandler onPiece);
   void onRequestComplete(decision::RequestId id, RequestInFlight& request);
+  void endWithoutResponse(RequestTable::iterator found);
   AttemptRequest attemptRequest(decision::RequestId id, const RequestInFlight& request,
                                 decision::WorkerId worker);
   std::optional<std::string> authorizeSend(decision::RequestId id, decision::WorkerId worker);
@@ -158,7 +161,7 @@
   UpstreamPool pool_;
   ClientServer server_;
   std::unordered_set<decision::WorkerId> readyWorkers_;  // ready on the current endpoint list
-  std::unordered_map<decision::RequestId, RequestInFlight> requests_;
+  RequestTable requests_;
   decision::RequestId lastRequestId_ = 0;
   decision::Gateway gateway_;
   invariant::Monitor monitor_;
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -115,6 +115,20 @@
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
   ++found->second.classCounts->failure;
+  endWithoutResponse(found);
+}
+
+void Gatekeeper::onBodyRejected(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  ++finalResponses_.rejected;
+  ++found->second.classCounts->rejected;
+  endWithoutResponse(found);
+}
+
+// Ends a request to which no response of the decision module is sent any more.
+void Gatekeeper::endWithoutResponse(RequestTable::iterator found) {
+  const RequestId id = found->first;
   monitor_.clientClosed(found->second.trace, clock_.now());
   requests_.erase(found);
   gateway_.onClientDisconnect(clock_.now(), id);
--- a/src/gatekeeper/request_handler.hpp
+++ b/src/gatekeeper/request_handler.hpp
@@ -54,6 +54,9 @@
   /// The client of a request in flight has disconnected, or its body is malformed or too slow: the handler's
   /// response is no longer needed.
   virtual void onClientDisconnect(decision::RequestId id) = 0;
+  /// The rest of the body of a request in flight gets no memory: the connection rejects the request, and the
+  /// handler's response is no longer needed.
+  virtual void onBodyRejected(decision::RequestId id) = 0;
   /// A request of this class was rejected by the client server, without a call of `onRequest`.
   virtual void onRequestRejected(unsigned classIndex) = 0;
   /// A connection was closed by the server while a request on it was unanswered.
--- a/src/net/overload_manager.hpp
+++ b/src/net/overload_manager.hpp
@@ -44,6 +44,8 @@
     }
     /// @return whether it is registered, as paused or as watched.
     bool isRegistered() const { return is_linked(); }
+    /// @return whether it is registered as paused for lack of memory.
+    bool awaitsMemory() const { return is_linked() && resume_; }
 
    private:
     friend class OverloadManager;
--- a/tests/accept_cost_test.cpp
+++ b/tests/accept_cost_test.cpp
@@ -58,6 +58,7 @@
     responders.push_back(responder);
   }
   void onClientDisconnect(decision::RequestId) override {}
+  void onBodyRejected(decision::RequestId) override {}
   void onRequestRejected(unsigned) override {}
   void onClosedUnanswered(CloseReason reason) override {
     ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -16,6 +16,7 @@
     responder = newResponder;
   }
   void onClientDisconnect(decision::RequestId) override { ++disconnects; }
+  void onBodyRejected(decision::RequestId) override {}
   void onRequestRejected(unsigned) override { ++rejections; }
   void onClosedUnanswered(CloseReason reason) override {
     ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -85,5 +85,37 @@
   }
 }
 
+// Guards against a long body that waits for memory without a limit of time: neither its client nor its worker
+// has one then, and the request's deadline begins with its last byte.
+TEST_F(IncompleteMessages, AStreamedBodyWithoutMemoryIsRejectedInTime) {
+  fillMemory(14 * 1024, true);
+  const auto client = sendRequest(longRequestHeader(200000));
+  client->sendBytes(200000);
+  waitUntil([&] { return waiting(WaitQueue::pausedRead) == 1; }, "a paused read");
+  const auto pausedAt = Clock::now();
+  const auto workerPeer = workerConnection("00000000000000b1");
+  waitUntil([&] { return client->has("\r\n\r\n"); }, "a response");
+  EXPECT_LT(Clock::now() - pausedAt, kBadClientTimeout);
+  EXPECT_TRUE(client->has("HTTP/1.1 503") && client->has("Retry-After: ")) << client->received;
+  EXPECT_EQ(rejections(WaitQueue::pausedRead), 1u);
+  const std::string metrics = operatorCall("telemetry");
+  EXPECT_NE(metrics.find("svc.busy.edit:1|c\n"), std::string::npos);
+  EXPECT_NE(metrics.find("svc.failure.edit:0|c\n"), std::string::npos);
+  waitUntil([&] { return workerPeer->closedByPeer; }, "the end of the attempt");
+  EXPECT_EQ(gatekeeper->requestsInFlight(), 0u);
+}
+
+TEST_F(IncompleteMessages, AStreamedBodyContinuesWhenMemoryIsFreed) {
+  fillMemory(14 * 1024, true);
+  const auto client = sendRequest(longRequestHeader(200000));
+  client->sendBytes(200000);
+  waitUntil([&] { return waiting(WaitQueue::pausedRead) == 1; }, "a paused read");
+  otherClientsCharge.release();
+  const auto workerPeer = workerConnection("00000000000000b1");
+  waitUntil([&] { return workerPeer->count("x") >= 200000; }, "the complete body at the worker");
+  workerPeer->send(httpResponse("200 OK", "taken"));
+  waitUntil([&] { return client->has("taken"); }, "the response");
+}
+
 }  // namespace
 }  // namespace wingslip::test
--- a/tests/overflow_connections_test.cpp
+++ b/tests/overflow_connections_test.cpp
@@ -23,6 +23,7 @@
       responders.push_back(responder);
     }
     void onClientDisconnect(decision::RequestId) override {}
+    void onBodyRejected(decision::RequestId) override {}
     void onRequestRejected(unsigned) override { ++rejections; }
     void onClosedUnanswered(CloseReason reason) override {
       ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -145,6 +145,7 @@
       responders.push_back(responder);
     }
     void onClientDisconnect(decision::RequestId) override { ++disconnects; }
+    void onBodyRejected(decision::RequestId) override {}
     void onRequestRejected(unsigned) override {}
     void onClosedUnanswered(CloseReason reason) override {
       ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
