Keep the stall timeout of a streamed response that waits for memory

What callers saw: the beginning of a long answer, and then neither its end nor a close. Cause: the timer of a streamed response ran only from the start of a read. One that found no memory was paused without a timer; the request's deadline has ended by then, since the response has started. Change: `UpstreamConnection::read` arms the stall timeout before it asks for memory. Measured: AStreamedResponseWithoutMemoryEndsAtTheStallTimeout failed before (no end within 30 s; stall timeout 100 ms).

--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -258,18 +258,18 @@
 
 void UpstreamConnection::read() {
   if (reading_) return;
+  if (streaming_) armTimer(Clock::now() + context_.limits.streamStallTimeout);
   if (!memory_.resize(memoryBytes(readSize()))) return waitForMemory();
   pausedRead_.clear();
   reading_ = true;
-  if (streaming_) armTimer(Clock::now() + context_.limits.streamStallTimeout);
   socket_.async_read_some(response_.prepare(readSize()), guard([this](const Error& error, std::size_t bytes) {
                             reading_ = false;
                             onRead(error, bytes);
                           }));
 }
 
-// Until memory is available the response stays in the kernel's receive buffer. The attempt's timeout
-// continues running.
+// Until memory is available the response stays in the kernel's receive buffer. The timeout of the attempt, or
+// of the streamed response, continues running.
 void UpstreamConnection::waitForMemory() {
   const auto retry = [this] {
     if (ended() || reading_) return true;
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -3,10 +3,12 @@
 #include <chrono>
 
 #include "overload_fixture.hpp"
+#include "upstream_pool_fixture.hpp"
 
 namespace wingslip::test {
 namespace {
 
+using decision::AttemptResult;
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
 
@@ -117,5 +119,38 @@
   waitUntil([&] { return client->has("taken"); }, "the response");
 }
 
+class IncompleteResponses : public UpstreamPoolFixture {
+ protected:
+  // Creates the pool with a short stall timeout. The pieces of streamed responses are counted.
+  void SetUp() override {
+    UpstreamPool::Limits limits;
+    limits.streamStallTimeout = 100ms;
+    createPool(limits);
+    pool->setStreamHandlers({[](decision::RequestId, const std::string&, std::optional<std::uint64_t>) {},
+                             [this](decision::RequestId, std::string&&) { ++pieces; }});
+  }
+  std::size_t pieces = 0;
+};
+
+// Guards against a streamed response that waits for memory without a limit of time; the request's deadline
+// ends when its response starts.
+TEST_F(IncompleteResponses, AStreamedResponseWithoutMemoryEndsAtTheStallTimeout) {
+  startAttempt(1);
+  waitForRequests(1);
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n13880\r\n" +
+                        std::string(80000, 'x') + "\r\n5;note=" + std::string(15000, 'x'));
+  auto others = overloadManager.memory().open(Account::workers);
+  while (attemptEnds.empty() && overloadManager.waitQueues().waiting(WaitQueue::pausedRead) == 0) {
+    const std::size_t piecesBefore = pieces;
+    waitUntil([&] { return pieces > piecesBefore || !attemptEnds.empty(); }, "the next piece");
+    ASSERT_TRUE(others.resize(others.bytes() + overloadManager.memory().available(Account::workers)));
+    pool->resumeResponse(1);
+  }
+  ASSERT_EQ(overloadManager.waitQueues().waiting(WaitQueue::pausedRead), 1u);
+  waitForEnds(1);
+  EXPECT_EQ(attemptEnds[0].outcome.result, AttemptResult::reset);
+  EXPECT_TRUE(attemptEnds[0].streamed);
+}
+
 }  // namespace
 }  // namespace wingslip::test
