Keep the stall timeout of a streamed response when the request's body ends being sent

What callers saw: the beginning of a long answer, and then neither its end nor a close, where a worker answers before the request's last byte, takes what was sent, and stops in its response. Cause: one timer serves both directions. `requestBodyPiece` cancelled it to wait for the client's next piece, though the client connection sends none once the response is streamed, and the pending read of the response needed it. Change: no piece is asked for once the response is streamed. Measured: AnEarlyResponseThatStopsEndsAtTheStallTimeout failed before (no end within 30 s; stall timeout 100 ms).

--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -229,8 +229,10 @@
 }
 
 // No timeout runs while waiting for the client's next piece. The timeout for the response starts when the
-// last piece has arrived.
+// last piece has arrived. Once the response is streamed, the client's connection discards the rest of the
+// body, and the timer is that of the response.
 void UpstreamConnection::requestBodyPiece() {
+  if (streaming_) return;
   timer_.cancel();
   readBody_([weak = weak_from_this(), id = outcome_.id](std::string&& piece, bool last) {
     const auto self = weak.lock();
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -127,9 +127,24 @@
     limits.streamStallTimeout = 100ms;
     createPool(limits);
     pool->setStreamHandlers({[](decision::RequestId, const std::string&, std::optional<std::uint64_t>) {},
-                             [this](decision::RequestId, std::string&&) { ++pieces; }});
+                             [this](decision::RequestId, std::string&& piece) {
+                               ++pieces;
+                               receivedBytes += piece.size();
+                             }});
   }
-  std::size_t pieces = 0;
+  // A request whose body is streamed; `requestPiece` is set each time the attempt needs the next piece.
+  AttemptRequest streamedRequest() {
+    AttemptRequest request = bufferedRequest("POST / HTTP/1.1\r\nContent-Length: 33000000\r\n\r\n");
+    request.readBody = [this](AttemptRequest::BodyPieceHandler onPiece) { sendPiece = std::move(onPiece); };
+    return request;
+  }
+  // Resumes the response after each piece, as a client that reads does. Returns whether it has begun.
+  bool takePieces() {
+    for (; takenPieces < pieces; ++takenPieces) pool->resumeResponse(1);
+    return takenPieces > 0;
+  }
+  std::size_t pieces = 0, takenPieces = 0, receivedBytes = 0;
+  AttemptRequest::BodyPieceHandler sendPiece;
 };
 
 // Guards against a streamed response that waits for memory without a limit of time; the request's deadline
@@ -152,5 +167,23 @@
   EXPECT_TRUE(attemptEnds[0].streamed);
 }
 
+// Guards against a worker that answers before the request's end, takes the rest and then stops in its
+// response: the wait for a next piece of the body, which nobody sends any more, must not end the time limit
+// of the response.
+TEST_F(IncompleteResponses, AnEarlyResponseThatStopsEndsAtTheStallTimeout) {
+  pool->startAttempt(1, 0, 1, streamedRequest(), std::nullopt);
+  waitUntil([&] { return sendPiece != nullptr; }, "the request for a piece");
+  waitForRequests(1);
+  worker.peers[0]->pauseReading();
+  std::exchange(sendPiece, nullptr)(std::string(16 << 20, 'x'), false);
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + std::string(80000, 'x'));
+  waitUntil([&] { return takePieces() && receivedBytes == 80000; }, "the beginning of the response");
+  worker.peers[0]->resumeReading();
+  waitUntil([&] { return takePieces() && !attemptEnds.empty(); }, "the end of the attempt");
+  EXPECT_TRUE(attemptEnds[0].streamed);
+  // The worker has not received the request's last byte.
+  EXPECT_EQ(attemptEnds[0].outcome.result, AttemptResult::connectFailed);
+}
+
 }  // namespace
 }  // namespace wingslip::test
