Enforce the time limit of a connection without a request after its unread bytes

What callers saw: a peer that sends blank lines without end got neither an error nor a close. Cause: blank lines begin no request. When the limit of the first request or of an idle connection passed while bytes were unread, `onTimer` left the connection to the read handler and armed nothing again: no limit was left. A header whose first bytes were read in that moment had none either. Change: `onTimer` still lets the read handler go first, but that handler checks the limit after the bytes it has read. Measured: APeerThatSendsBlankLinesWithoutEndIsClosedWithinTheTimeLimit failed before (open after 30 s; limit 300 ms). The two tests of a first request in the very moment of the limit passed before too: the event loop ran the read first.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -136,7 +136,14 @@
   }));
 }
 
+// Bytes that arrived in time may be unread: the read handler, which is about to run, checks the limit after
+// them.
 void ClientServer::Connection::onTimer() {
+  if (isIdle() && hasUnreadData()) return;
+  onTimeout();
+}
+
+void ClientServer::Connection::onTimeout() {
   // The read is paused for lack of memory, so the request is rejected for capacity, not as too slow.
   if (state_ == State::reading && requestStarted() && pausedRead_.awaitsMemory())
     return rejectForCapacity(WaitQueue::pausedRead);
@@ -151,7 +158,6 @@
   }
   if (state_ == State::streaming) countRejection(WaitQueue::responseBodyWindow);
   if (state_ == State::responding) countRejection(WaitQueue::responseWrite);
-  if (state_ == State::reading && hasUnreadData()) return;  // the read handler is about to run
   if (state_ == State::reading) return closeIdle();
   if (state_ == State::lingering) return close(CloseReason::lastResponse);
   if (state_ == State::discardingBody) return close(CloseReason::bodyTimeout);
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -115,6 +115,8 @@
 
   // Lifecycle and time limits (client_connection.cpp)
   bool requestStarted() const { return requestStarted_ || input_.size() > 0; }
+  // Whether no complete header of a request has been read since the last response.
+  bool isAwaitingHeader() const { return state_ == State::reading && !inBody_; }
   bool hasUnansweredRequest() const;
   void recordWait(WaitQueue queue) {
     waitRecord_.enter(server_.overloadManager_.waitQueues(), queue, OverloadManager::now());
@@ -122,6 +124,7 @@
   void countRejection(WaitQueue queue) { server_.overloadManager_.waitQueues().countRejection(queue); }
   void armTimer(std::chrono::milliseconds span);
   void onTimer();
+  void onTimeout();
   void startAwaitingRequest();
   void enterIdleOrder();
   void leaveOverflow();
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -71,6 +71,7 @@
   if (state_ == State::lingering && !discardInput()) return;
   if (inBody_ && !bodyDone_ && !checkBodyRate(bytes)) return;
   processInput();
+  if (isAwaitingHeader() && timer_.expiry() <= Clock::now()) onTimeout();
   if (state_ != State::closed) read();
 }
 
@@ -102,7 +103,7 @@
   const bool awaited = state_ == State::reading || state_ == State::inFlight;
   if (!awaited || bodyRate_.isAtLeast(server_.limits_.minBodyBytesPerMs, server_.limits_.bodyRateGracePeriod))
     return true;
-  onTimer();
+  onTimeout();
   return false;
 }
 
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -1,5 +1,7 @@
 /// The client server without a gatekeeper: time limits, body limit, connection limit, one response per
 /// request.
+#include <thread>
+
 #include "loopback.hpp"
 
 namespace wingslip::test {
@@ -72,6 +74,48 @@
   EXPECT_EQ(handler.lastRequestId, 0u);
 }
 
+// Guards against a time limit that is lost because unread bytes postpone it: blank lines never begin a
+// request.
+TEST_F(ClientConnections, APeerThatSendsBlankLinesWithoutEndIsClosedWithinTheTimeLimit) {
+  ClientServer::Limits limits;
+  limits.firstRequestTimeout = 300ms;
+  limits.idleTimeout = 300ms;
+  open(limits);
+  const auto peer = connectTo(server->address()), keptPeer = connectTo(server->address());
+  keptPeer->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+  waitUntil([&] { return keptPeer->has("ready"); }, "the first response");
+  for (const auto& sender : {peer, keptPeer}) sender->sendBytes(std::size_t{1} << 40, '\n');
+  waitUntil([&] { return peer->closedByPeer && keptPeer->closedByPeer; }, "both connections end");
+  EXPECT_TRUE(peer->received.empty()) << peer->received;
+  waitUntil([&] { return server->connections() == 0; }, "both connections end");
+}
+
+// Guards against a header without a time limit: its first bytes are unread as the limit of the accept passes.
+TEST_F(ClientConnections, AHeaderThatBeginsAsTheTimeLimitPassesIsTimedOut) {
+  ClientServer::Limits limits;
+  limits.firstRequestTimeout = 100ms;
+  open(limits);
+  const auto client = connectTo(server->address());
+  waitUntil([&] { return server->connections() == 1; }, "the accept");
+  std::this_thread::sleep_for(limits.firstRequestTimeout + 20ms);
+  client->send(TestRequest().text().substr(0, 40));
+  waitUntil([&] { return client->closedByPeer; }, "the connection ends");
+  EXPECT_TRUE(client->has("HTTP/1.1 408")) << client->received;
+}
+
+// The same moment, but the request is complete: it is served.
+TEST_F(ClientConnections, ARequestThatArrivesAsTheTimeLimitPassesIsServed) {
+  ClientServer::Limits limits;
+  limits.firstRequestTimeout = 100ms;
+  open(limits);
+  const auto client = connectTo(server->address());
+  waitUntil([&] { return server->connections() == 1; }, "the accept");
+  std::this_thread::sleep_for(limits.firstRequestTimeout + 20ms);
+  client->send(TestRequest().text());
+  waitUntil([&] { return handler.lastRequestId == 1 || client->closedByPeer; }, "a request in flight");
+  EXPECT_EQ(handler.lastRequestId, 1u);
+}
+
 TEST_F(ClientConnections, InputAfterTheLastResponseIsLimited) {
   ClientServer::Limits limits;
   limits.lingerTimeout = 60s;
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -34,7 +34,8 @@
     if (std::exchange(readPaused_, false) && !readPending_) read();
   }
   /// Sends this many bytes in pieces, as fast as the other side reads them; `bytesSent` counts those sent.
-  void sendBytes(std::size_t bytes) {
+  void sendBytes(std::size_t bytes, char byte = 'x') {
+    piece_.assign(16384, byte);
     unsentBytes_ += bytes;
     if (!writePending_) sendNextPiece();
   }
@@ -79,8 +80,7 @@
   void sendNextPiece() {
     if (unsentBytes_ == 0 || closedByPeer) return;
     writePending_ = true;
-    static const std::string piece(16384, 'x');
-    socket_.async_write_some(asio::buffer(piece.data(), std::min(unsentBytes_, piece.size())),
+    socket_.async_write_some(asio::buffer(piece_.data(), std::min(unsentBytes_, piece_.size())),
                              [self = shared_from_this(), this](const Error& error, std::size_t n) {
                                writePending_ = false;
                                bytesSent += n;
@@ -93,6 +93,7 @@
   }
 
   tcp::socket socket_;
+  std::string piece_;
   std::size_t unsentBytes_ = 0;
   bool readPending_ = false, writePending_ = false, readPaused_ = false;
   std::array<char, 4096> readBuffer_{};
