Evict overflow connections whose read is paused

What callers saw: with all connections busy, peers that should get their error within 3 s waited in the accept queue, while the overflow slots were held by connections whose reads waited for memory. Cause: `hasUnreadData` stood for "the read handler is about to run". A paused read has no handler, so `freeOverflowSlot` asked again every millisecond until the connection's own limit ended it. Change: `isReadDue` is false while the read is paused; a paused overflow connection with a request gets its 503.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -66,7 +66,7 @@
 
 void ClientServer::Connection::closeIfIdle() {
   const bool isNew = awaitingFirstRequest_ && Clock::now() - openedAt_ < kIncompleteRequestTimeoutAtStop;
-  if (isIdle() && !hasUnreadData() && !isNew) return closeIdle();
+  if (isIdle() && !isReadDue() && !isNew) return closeIdle();
   if (state_ == State::reading && !parser_->is_header_done()) armTimer(kIncompleteRequestTimeoutAtStop);
 }
 
@@ -83,9 +83,9 @@
   rejectForCapacity(WaitQueue::freeConnection);
 }
 
-bool ClientServer::Connection::hasUnreadData() {
+bool ClientServer::Connection::isReadDue() {
   Error error;
-  return state_ != State::closed && socket_.available(error) > 0;
+  return state_ != State::closed && !pausedRead_.isRegistered() && socket_.available(error) > 0;
 }
 
 bool ClientServer::Connection::hasDisconnected() {
@@ -139,7 +139,7 @@
 // Bytes that arrived in time may be unread: the read handler, which is about to run, checks the limit after
 // them.
 void ClientServer::Connection::onTimer() {
-  if (isIdle() && hasUnreadData()) return;
+  if (isIdle() && isReadDue()) return;
   onTimeout();
 }
 
@@ -169,6 +169,7 @@
 void ClientServer::Connection::startAwaitingRequest() {
   state_ = State::reading;
   waitRecord_.leave();
+  pausedRead_.clear();  // reading continues
   requestStarted_ = false;
   continueHandled_ = false;
   inBody_ = false;
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -69,8 +69,9 @@
   bool isOverflow() const { return overflow_; }
   Clock::time_point openedAt() const { return openedAt_; }
   Clock::time_point idleSince() const { return idleSince_; }
-  /// Whether the kernel has received bytes that are not read yet.
-  bool hasUnreadData();
+  /// Whether the kernel has received bytes that the read handler is about to read. False while reading is
+  /// paused.
+  bool isReadDue();
 
   /// Closes the connection immediately and cancels its request. An unanswered request is reported to the
   /// handler, unless the client has closed the connection or its response was truncated.
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -40,7 +40,7 @@
   bodyRate_.startRead();
   if (awaitingBody) armTimer(server_.limits_.bodyReadTimeout);
   // Waits for readability instead of reading: received bytes stay in the kernel until the handler runs, so
-  // that `hasUnreadData` detects them before an idle connection is evicted.
+  // that `isReadDue` detects them before an idle connection is evicted.
   socket_.async_wait(tcp::socket::wait_read,
                      guard([this](const Error& error, std::size_t) { onReadable(error); }));
 }
--- a/src/gatekeeper/client_server.cpp
+++ b/src/gatekeeper/client_server.cpp
@@ -212,7 +212,7 @@
     });
     return false;
   }
-  if (oldest->hasUnreadData()) {  // the read handler is about to run and responds
+  if (oldest->isReadDue()) {  // the read handler is about to run and responds
     overflowTimer_.expires_after(kUnreadDataRetryDelay);
     overflowTimer_.async_wait([this](const Error& error) {
       if (!error && capacityWait_.isIn(WaitQueue::freeConnection)) accept();
@@ -248,7 +248,7 @@
   while (const auto oldest = static_cast<Connection*>(idle_.oldest())) {
     if (oldest->idleSince() >= cutoff) return;
     oldest->leaveOrder();
-    if (!oldest->hasUnreadData()) oldest->shared_from_this()->closeIdle();
+    if (!oldest->isReadDue()) oldest->shared_from_this()->closeIdle();
   }
 }
 
@@ -272,7 +272,7 @@
   }
   while (const auto oldest = static_cast<Connection*>(idle_.oldest())) {
     oldest->leaveOrder();
-    if (oldest->hasUnreadData()) continue;
+    if (oldest->isReadDue()) continue;
     oldest->close(CloseReason::evicted);
     return true;
   }
--- a/tests/overflow_connections_test.cpp
+++ b/tests/overflow_connections_test.cpp
@@ -38,6 +38,7 @@
     limits.overflowDelay = 100ms;
     limits.minOverflowTime = 200ms;
     limits.firstRequestTimeout = 600ms;
+    limits.maxMemoryWait = 60s;
     server.emplace(io, config, limits, handler, overloadManager);
     server->start();
     for (std::size_t i = 0; i < 30; ++i) {
@@ -101,5 +102,28 @@
             "the close of the silent connections");
 }
 
+// Guards against overflow slots that stay occupied: unread bytes of a connection whose read waits for memory
+// are read by no handler, so they must not postpone its eviction.
+TEST_F(OverflowConnections, AConnectionThatWaitsForMemoryIsEvictedForTheNext) {
+  auto otherConnections = overloadManager.memory().open(Account::clients);
+  ASSERT_TRUE(otherConnections.resize(overloadManager.memory().available(Account::clients)));
+  TestRequest request;
+  request.requestClass = "edit";
+  request.body = std::string(60000, 'x');
+  std::vector<PeerPtr> waitingClients;
+  for (std::size_t i = 0; i < limits.overflowSlots(); ++i) {
+    waitingClients.push_back(connectTo(server->address()));
+    waitingClients.back()->send(request.text());
+  }
+  waitUntil(
+      [&] { return overloadManager.waitQueues().waiting(WaitQueue::pausedRead) == limits.overflowSlots(); },
+      "overflow connections that wait for memory");
+  const auto malformed = connectTo(server->address());
+  malformed->send("NONSENSE\r\n\r\n");
+  waitUntil([&] { return malformed->closedByPeer; }, "the close of the malformed peer");
+  EXPECT_TRUE(malformed->has("HTTP/1.1 400")) << malformed->received;
+  EXPECT_TRUE(waitingClients.front()->has("HTTP/1.1 503")) << waitingClients.front()->received;
+}
+
 }  // namespace
 }  // namespace wingslip::test
