Tests: one recording request handler for the tests of the client server

Cause: the handler stood four times (accept cost, client server, overflow connections, races), and each had to follow the new RequestHandler::onBodyRejected. Change: tests/recording_handler.hpp; it counts everything that one of the four counted. No assertion or bound changed; the check in onClosedUnanswered stands once instead of four times.

--- a/tests/accept_cost_test.cpp
+++ b/tests/accept_cost_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdarg>
 
 #include "loopback.hpp"
+#include "recording_handler.hpp"
 
 namespace {
 
@@ -49,24 +50,6 @@
 
 constexpr std::size_t kMiB = std::size_t{1} << 20;
 
-// Records the responders of all requests and does not respond by itself.
-struct RecordingHandler : RequestHandler {
-  bool ready() const override { return true; }
-  decision::RequestId nextRequestId() override { return ++lastRequestId; }
-  void onRequest(decision::RequestId, const ParsedRequest&, ClientMessage&&,
-                 const std::shared_ptr<Responder>& responder) override {
-    responders.push_back(responder);
-  }
-  void onClientDisconnect(decision::RequestId) override {}
-  void onBodyRejected(decision::RequestId) override {}
-  void onRequestRejected(unsigned) override {}
-  void onClosedUnanswered(CloseReason reason) override {
-    ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
-  }
-  decision::RequestId lastRequestId = 0;
-  std::vector<std::shared_ptr<Responder>> responders;
-};
-
 // Raises the soft limit on open descriptors to `needed`; fails the test if the hard limit is lower.
 void raiseDescriptorLimit(rlim_t needed) {
   rlimit limit{};
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -3,32 +3,13 @@
 #include <thread>
 
 #include "loopback.hpp"
+#include "recording_handler.hpp"
 
 namespace wingslip::test {
 namespace {
 
 using namespace std::chrono_literals;
 
-// Records the responder of the latest request and does not respond by itself.
-struct UnresponsiveHandler : RequestHandler {
-  bool ready() const override { return true; }
-  decision::RequestId nextRequestId() override { return ++lastRequestId; }
-  void onRequest(decision::RequestId, const ParsedRequest&, ClientMessage&&,
-                 const std::shared_ptr<Responder>& newResponder) override {
-    responder = newResponder;
-  }
-  void onClientDisconnect(decision::RequestId) override { ++disconnects; }
-  void onBodyRejected(decision::RequestId) override {}
-  void onRequestRejected(unsigned) override { ++rejections; }
-  void onClosedUnanswered(CloseReason reason) override {
-    ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
-  }
-  int rejections = 0;
-  decision::RequestId lastRequestId = 0;
-  int disconnects = 0;
-  std::shared_ptr<Responder> responder;
-};
-
 class ClientConnections : public Loopback {
  protected:
   void open(const ClientServer::Limits& limits) {
@@ -37,7 +18,7 @@
     server->start();
   }
   Config config;
-  UnresponsiveHandler handler;
+  RecordingHandler handler;
   OverloadManager overloadManager{io, budgetSharesFor({std::size_t{64} << 20}), OverloadState::Limits{}};
   std::optional<ClientServer> server;
 };
@@ -175,11 +156,11 @@
   open({});
   const auto client = connectTo(server->address());
   client->send(TestRequest().text());
-  waitUntil([&] { return handler.responder != nullptr; }, "a request in flight");
+  waitUntil([&] { return handler.responders.size() == 1; }, "a request in flight");
   for (int i = 0; i < 2; ++i) {
     ClientResponse response;
     response.body = "only";
-    handler.responder->respond(std::move(response));
+    handler.responders[0]->respond(std::move(response));
   }
   waitUntil([&] { return client->has("only"); }, "the response");
   client->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
--- a/tests/overflow_connections_test.cpp
+++ b/tests/overflow_connections_test.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "loopback.hpp"
+#include "recording_handler.hpp"
 
 namespace wingslip::test {
 namespace {
@@ -15,23 +16,6 @@
 // request.
 class OverflowConnections : public Loopback {
  protected:
-  struct RecordingHandler : RequestHandler {
-    bool ready() const override { return true; }
-    decision::RequestId nextRequestId() override { return ++lastRequestId; }
-    void onRequest(decision::RequestId, const ParsedRequest&, ClientMessage&&,
-                   const std::shared_ptr<Responder>& responder) override {
-      responders.push_back(responder);
-    }
-    void onClientDisconnect(decision::RequestId) override {}
-    void onBodyRejected(decision::RequestId) override {}
-    void onRequestRejected(unsigned) override { ++rejections; }
-    void onClosedUnanswered(CloseReason reason) override {
-      ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
-    }
-    decision::RequestId lastRequestId = 0;
-    int rejections = 0;
-    std::vector<std::shared_ptr<Responder>> responders;
-  };
   void SetUp() override {
     config = parseConfig(configJson("127.0.0.1:1").dump());
     limits.maxConnections = 32;
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -1,6 +1,7 @@
 // Races between events on real connections. Each test forces the critical order deterministically: the peer's
 // action is already in the kernel before the next iteration of the event loop, or is delayed until the other
 // side has acted.
+#include "recording_handler.hpp"
 #include "upstream_pool_fixture.hpp"
 
 namespace wingslip::test {
@@ -137,23 +138,6 @@
 
 class ClientServerRaces : public Loopback {
  protected:
-  struct RecordingHandler : RequestHandler {
-    bool ready() const override { return true; }
-    decision::RequestId nextRequestId() override { return ++lastRequestId; }
-    void onRequest(decision::RequestId, const ParsedRequest&, ClientMessage&&,
-                   const std::shared_ptr<Responder>& responder) override {
-      responders.push_back(responder);
-    }
-    void onClientDisconnect(decision::RequestId) override { ++disconnects; }
-    void onBodyRejected(decision::RequestId) override {}
-    void onRequestRejected(unsigned) override {}
-    void onClosedUnanswered(CloseReason reason) override {
-      ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
-    }
-    decision::RequestId lastRequestId = 0;
-    int disconnects = 0;
-    std::vector<std::shared_ptr<Responder>> responders;
-  };
   void SetUp() override { server.start(); }
   static std::string readinessRequest() { return "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"; }
 
