--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -90,6 +90,9 @@
 // Guards against a long body that waits for memory without a limit of time: neither its client nor its worker
 // has one then, and the request's deadline begins with its last byte.
 TEST_F(IncompleteMessages, AStreamedBodyWithoutMemoryIsRejectedInTime) {
+  const auto firstClient = sendSmallRequest("00000000000000a1");  // its response shows that attempts are made
+  workerConnection("00000000000000a1")->send(httpResponse("200 OK", "served"));
+  waitUntil([&] { return firstClient->has("served"); }, "the response to a small request");
   fillMemory(14 * 1024, true);
   const auto client = sendRequest(longRequestHeader(200000));
   client->sendBytes(200000);
