Complete a started response although the rest of its request is malformed

What callers saw: since the limit on chunk lines, a client whose worker answers before the body's end, or whose request is refused by its header, lost its answer when a longer chunk line followed in the body; before, only malformed bodies did that. Cause: `parseBody` closed the connection at once when the body of a request with a response turned out malformed. Change: the rest of the body is not read as a body any more; the response is completed, and the lingering close discards what comes. The close reason malformed_body is not counted any more and stays in the metrics as 0.

--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -147,6 +147,7 @@
   void processInput();
   void parseRequest();
   void parseBody();
+  void onMalformedBody(http::status status);
   void startBody();
   void deliverBody();
   void skipBlankLines();
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -245,13 +245,7 @@
 void ClientServer::Connection::parseBody() {
   Error error;
   bodyDone_ = parseBuffered(*parser_, input_, error);
-  if (error) {
-    if (state_ != State::inFlight) return close(CloseReason::malformedBody);
-    server_.handler_.onClientDisconnect(requestId_);
-    bodyDone_ = true;
-    closeAfterResponse_ = true;
-    return reject({statusOf(error), "malformed request"});
-  }
+  if (error) return onMalformedBody(statusOf(error));
   if (bodyDone_ && state_ != State::discardingBody) timer_.cancel();
   if (state_ == State::inFlight) return deliverBody();
   parser_->get().body().clear();
@@ -259,6 +253,17 @@
   if (bodyDone_ && state_ == State::discardingBody) finishExchange();
 }
 
+// A response that has started is completed: its client may have read nothing of it yet. The lingering close
+// then discards the rest of the body.
+void ClientServer::Connection::onMalformedBody(http::status status) {
+  bodyDone_ = true;
+  closeAfterResponse_ = true;
+  if (state_ == State::discardingBody) return finishExchange();
+  if (state_ != State::inFlight) return;
+  server_.handler_.onClientDisconnect(requestId_);
+  reject({status, "malformed request"});
+}
+
 void ClientServer::Connection::deliverBody() {
   if (!bodyPieceHandler_) return;
   std::string& body = parser_->get().body();
--- a/src/gatekeeper/close_reason.hpp
+++ b/src/gatekeeper/close_reason.hpp
@@ -21,7 +21,7 @@
   sendsAfterLastResponse,  ///< the client sent too much input after its last response
   writeTimeout,            ///< the client did not read its response within the write timeout
   bodyTimeout,             ///< the remaining body of an answered request timed out
-  malformedBody,           ///< the remaining body of an answered request is malformed
+  malformedBody,           ///< never counted; its metric is still reported, as 0
   responseTruncated,       ///< a streamed response could not be completed
   processEnd,              ///< never counted; its metric is still reported, as 0
 };
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -87,6 +87,19 @@
   }
 }
 
+// Guards against a reset that cuts off the response to a request whose remaining body is turned down.
+TEST_F(IncompleteMessages, AStartedResponseIsCompletedThoughTheRestOfItsRequestIsRejected) {
+  const auto client = sendRequest(chunkedRequest(longChunk()));
+  const auto workerPeer = workerConnection("00000000000000a1");
+  workerPeer->send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + std::string(100000, 'z'));
+  waitUntil([&] { return client->count("z") > 0; }, "the beginning of the response");
+  client->send(unfinishedChunkLine(40000));
+  runFor(50ms);
+  workerPeer->sendBytes(300000, 'z');
+  waitUntil([&] { return client->closedByPeer; }, "the close");
+  EXPECT_EQ(client->count("z"), 400000u);
+}
+
 // Guards against a long body that waits for memory without a limit of time: neither its client nor its worker
 // has one then, and the request's deadline begins with its last byte.
 TEST_F(IncompleteMessages, AStreamedBodyWithoutMemoryIsRejectedInTime) {
