End an upload at its deadline although its last byte is unread

Seen in telemetry then: 3 requests in wait.body_window and wait.full_buffer, 8,410 ms old, none in half_read, held or paused_read.

Cause: the deadline of a request whose body is passed on began when the gatekeeper read the last byte. Whatever stops the reading (worker, connection, memory, drain) kept the deadline from beginning, and the time unread was given on top.

Change: BodyLag is at least the time since the client sent the last byte; the deadline timer runs from the admission and follows it. What is left when the last byte is read is the deadline; nothing left: the byte is not passed on. A short body's lag is taken off too. The invariant monitor knows the deadline of a body that arrives. Why it holds: once the last byte is sent the gatekeeper waits for the client only while bytes are on their way, so the lag grows with the time that passes; a slow client that is awaited has none.

--- a/include/wingslip/decision/gateway.hpp
+++ b/include/wingslip/decision/gateway.hpp
@@ -124,6 +124,8 @@
   /// The body of a request that was started on its header is complete. Its latency objective counts from now,
   /// its deadline becomes `expiresAt`, and the idempotency window of the attempt in flight counts from now.
   void onRequestComplete(Time now, RequestId id, Time expiresAt);
+  /// The deadline of a request in flight becomes `expiresAt`, although its body is incomplete.
+  void onDeadlineChange(RequestId id, Time expiresAt);
   /// Ends an attempt; a second outcome of the same attempt is ignored. May start a retry or send the final
   /// answer.
   void onAttemptOutcome(Time now, const AttemptOutcome& outcome);
--- a/src/decision/gateway.cpp
+++ b/src/decision/gateway.cpp
@@ -117,6 +117,10 @@
     if (UpstreamWorker* worker = workers_.find(pending->triedWorkers.back())) worker->lastResponseAt = now;
   }
 
+  void onDeadlineChange(RequestId id, Time expiresAt) {
+    if (PendingRequest* pending = requests_.find(id)) pending->request.expiresAt = expiresAt;
+  }
+
   void onClientDisconnect(RequestId id) { requests_.erase(id); }
 
   void onResponseStarted(RequestId id) {
@@ -357,6 +361,7 @@
 void Gateway::onRequestComplete(Time now, RequestId id, Time expiresAt) {
   core_->onRequestComplete(now, id, expiresAt);
 }
+void Gateway::onDeadlineChange(RequestId id, Time expiresAt) { core_->onDeadlineChange(id, expiresAt); }
 void Gateway::onClientDisconnect(Time, RequestId id) { core_->onClientDisconnect(id); }
 void Gateway::onResponseStarted(Time, RequestId id) { core_->onResponseStarted(id); }
 void Gateway::onOverload(Time, const OverloadSignal& signal) { core_->onOverload(signal); }
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "gatekeeper/body_lag.hpp"
 #include "gatekeeper/body_rate.hpp"
 #include "gatekeeper/client_response.hpp"
 #include "gatekeeper/client_server.hpp"
@@ -61,6 +62,7 @@
   void chargeFinalPiece(MemoryBudget::Charge&& memory) override;
   void abortStream() override;
   void readBody(BodyPieceHandler onPiece) override;
+  decision::Time bodyLagMs() override;
   bool hasDisconnected() override;
   void closeDisconnected() override;
 
@@ -138,6 +140,7 @@
   // Reading a request (client_connection_reading.cpp)
   void read();
   void waitForMemory(bool awaitingBody);
+  std::chrono::milliseconds maxMemoryWait();
   void onReadable(const Error& waitError);
   std::size_t readSize() const;
   bool reserveReadMemory();
@@ -153,7 +156,7 @@
   void skipBlankLines();
   bool expectsContinue() const;
   void sendContinue();
-  decision::Time measureUnreadWait();
+  std::chrono::milliseconds measureUnreadWait();
   void onStreamedRequest();
   void onBufferedRequest(ClientMessage&& message);
   void admit(const ParsedRequest& request, ClientMessage&& message);
@@ -200,6 +203,7 @@
   bool bodyDone_ = true;          // no more of the body is expected
   unsigned requestVersion_ = 11;  // HTTP version; 11: HTTP/1.1
   BodyRate bodyRate_;
+  BodyLag bodyLag_;
 };
 
 }  // namespace wingslip
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -38,7 +38,11 @@
   pausedRead_.clear();
   reading_ = true;
   bodyRate_.startRead();
-  if (awaitingBody) armTimer(server_.limits_.bodyReadTimeout);
+  if (awaitingBody) {
+    armTimer(server_.limits_.bodyReadTimeout);
+    Error error;
+    if (socket_.available(error) == 0) bodyLag_.awaitClient(Clock::now());
+  }
   // Waits for readability instead of reading: received bytes stay in the kernel until the handler runs, so
   // that `isReadDue` detects them before an idle connection is evicted.
   socket_.async_wait(tcp::socket::wait_read,
@@ -48,7 +52,7 @@
 // Pauses reading until memory is available. A request whose body gets no memory within `maxMemoryWait` is
 // rejected; the time limit of a header is unchanged.
 void ClientServer::Connection::waitForMemory(bool awaitingBody) {
-  if (awaitingBody) armTimer(server_.limits_.maxMemoryWait);
+  if (awaitingBody) armTimer(maxMemoryWait());
   const auto retry = [this] {
     if (state_ == State::closed) return true;
     if (!reserveReadMemory()) return false;
@@ -60,8 +64,21 @@
                                             [this] { checkDisconnect(); });
 }
 
+// The handler enforces the deadline of a request in flight. Before that, no wait may outlast the deadline of
+// the request whose body is being read.
+std::chrono::milliseconds ClientServer::Connection::maxMemoryWait() {
+  const auto limit = server_.limits_.maxMemoryWait;
+  if (state_ != State::reading) return limit;
+  const auto parsed = parseClientRequest(parser_->get(), server_.config_);
+  const auto* request = std::get_if<ParsedRequest>(&parsed);
+  if (!request) return limit;
+  const double remainingMs = std::max(0.0, request->clientWaitMs - bodyLagMs());
+  return std::min(limit, std::chrono::milliseconds(static_cast<long>(remainingMs)));
+}
+
 void ClientServer::Connection::onReadable(const Error& waitError) {
   reading_ = false;
+  bodyLag_.stopAwaitingClient(Clock::now());
   Error error = waitError;
   const std::size_t bytes = error ? 0 : readSome(socket_, input_.prepare(readSize()), error);
   if (error == asio::error::would_block) return read();
@@ -149,6 +166,7 @@
   inBody_ = true;
   bodyDone_ = false;
   bodyRate_.reset();
+  bodyLag_.start(Clock::now(), measureUnreadWait());
 }
 
 // Some clients send an empty line after a body. It is not part of the next request.
@@ -172,18 +190,19 @@
   write();
 }
 
-// Time, ms, from the arrival of the last byte of the connection's first request until now, so that the time
-// in the accept queue counts against the client's deadline. 0 for later requests, which are read as they
-// arrive.
-decision::Time ClientServer::Connection::measureUnreadWait() {
-  if (!awaitingFirstRequest_ || !tcpStateKnown_) return 0;
-  const double waitedMs = static_cast<double>(timeSinceLastData(socket_).count());
-  server_.stats_.maxUnreadWaitMs = std::max(server_.stats_.maxUnreadWaitMs, waitedMs);
-  return waitedMs;
+// Time from the arrival of the last bytes of the connection's first request until now, so that the time in
+// the accept queue counts against the client's deadline. 0 for later requests, which are read as they arrive.
+std::chrono::milliseconds ClientServer::Connection::measureUnreadWait() {
+  if (!awaitingFirstRequest_ || !tcpStateKnown_) return std::chrono::milliseconds(0);
+  const std::chrono::milliseconds waited = timeSinceLastData(socket_);
+  server_.stats_.maxUnreadWaitMs =
+      std::max(server_.stats_.maxUnreadWaitMs, static_cast<double>(waited.count()));
+  return waited;
 }
 
 void ClientServer::Connection::onBufferedRequest(ClientMessage&& message) {
-  const decision::Time waitedMs = measureUnreadWait();
+  const auto unreadMs = static_cast<decision::Time>(measureUnreadWait().count());
+  const decision::Time waitedMs = std::max(unreadMs, inBody_ ? bodyLagMs() : 0);
   awaitingFirstRequest_ = false;
   inBody_ = false;
   bodyDone_ = true;
@@ -242,6 +261,13 @@
   asio::post(socket_.get_executor(), guardPosted([this] { deliverBody(); }));
 }
 
+// The time since the last bytes arrived also covers those that were unread while the process stood still.
+decision::Time ClientServer::Connection::bodyLagMs() {
+  const std::chrono::duration<double, std::milli> lag = bodyLag_.at(Clock::now());
+  if (!bodyDone_ || !tcpStateKnown_) return lag.count();
+  return std::max(lag.count(), static_cast<double>(timeSinceLastData(socket_).count()));
+}
+
 void ClientServer::Connection::parseBody() {
   Error error;
   bodyDone_ = parseBuffered(*parser_, input_, error);
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -133,7 +133,11 @@
 
   // Requests and their attempts (gatekeeper_requests.cpp)
   ClassCounts& countsOf(unsigned classIndex);
+  decision::Time remainingMs(const RequestInFlight& request) const;
   void startDeadlineTimer(decision::RequestId id, RequestInFlight& request);
+  void onDeadlineTimer(decision::RequestId id);
+  void setDeadline(RequestInFlight& request, decision::Time responseDueAt);
+  void updateTraceDeadline(RequestInFlight& request) const;
   void onDeadline(decision::RequestId id);
   void readBody(decision::RequestId id, AttemptRequest::BodyPieceHandler onPiece);
   void onRequestComplete(decision::RequestId id, RequestInFlight& request);
@@ -141,7 +145,7 @@
   AttemptRequest attemptRequest(decision::RequestId id, const RequestInFlight& request,
                                 decision::WorkerId worker);
   std::optional<std::string> authorizeSend(decision::RequestId id, decision::WorkerId worker);
-  SendRefusal refusalOf(decision::RequestId id, decision::WorkerId worker, decision::Time now) const;
+  SendRefusal refusalOf(decision::RequestId id, decision::WorkerId worker) const;
   void onAttemptDone(AttemptEnd&& end);
   void recordAttemptEnd(const decision::AttemptOutcome& outcome);
   void reportNotSent(decision::RequestId id, unsigned attempt, decision::WorkerId worker);
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -43,9 +43,10 @@
   request.responder = responder;
   request.responseDueAfterMs = std::max(0.0, parsed.clientWaitMs - kResponseReserveMs);
   request.body = {!parsed.bodyComplete, parsed.contentLength};
-  // The deadline counts from the request's last byte. While a streamed body arrives, no deadline timer runs
-  // here: `ClientServer::Connection` enforces its own time limits, and kMaxUploadMs is an upper bound.
-  const Time uploadMs = request.body.streamed ? kMaxUploadMs : 0;
+  request.bodyArriving = request.body.streamed;
+  // The deadline counts from the request's last byte. While a streamed body arrives, kMaxUploadMs is an upper
+  // bound, and the deadline timer follows the body's lag (`remainingMs`).
+  const Time uploadMs = request.bodyArriving ? kMaxUploadMs : 0;
   const decision::ClassSettings& requestClass = config_.settings.classes[parsed.classIndex];
   request.trace.requestId = std::string(toStringView(request.message["Req-Id"]));
   request.trace.idempotency = requestClass.idempotency;
@@ -54,7 +55,7 @@
   request.trace.deadline = now + parsed.clientWaitMs + uploadMs;
   monitor_.requestReceived(request.trace, now);
   request.responseDueAt = now + request.responseDueAfterMs + uploadMs;
-  if (!request.body.streamed) startDeadlineTimer(id, request);
+  startDeadlineTimer(id, request);
   overloadManager_.onActivity();
   const decision::Request decisionRequest{id,
                                           parsed.classIndex,
@@ -83,13 +84,48 @@
                                       clock_.now());
 }
 
+// Time until the response is due. While a body arrives, this is the time if the client has already sent the
+// last byte; it is extended whenever the client turns out not to have sent it.
+Time Gatekeeper::remainingMs(const RequestInFlight& request) const {
+  if (request.bodyArriving) return request.responseDueAfterMs - request.responder->bodyLagMs();
+  return request.responseDueAt - clock_.now();
+}
+
 void Gatekeeper::startDeadlineTimer(RequestId id, RequestInFlight& request) {
-  request.deadlineTimer.expires_after(toDuration(request.responseDueAt - clock_.now()));
+  request.deadlineTimer.expires_after(toDuration(remainingMs(request)));
   request.deadlineTimer.async_wait([this, id](const Error& error) {
-    if (!error) onDeadline(id);
+    if (!error) onDeadlineTimer(id);
   });
 }
 
+// The timer of a body that arrives was set for the lag that the body had then. If the gatekeeper has since
+// waited for the client, the deadline is later.
+void Gatekeeper::onDeadlineTimer(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.responseStarted) return;
+  RequestInFlight& request = found->second;
+  if (request.bodyArriving) {
+    if (remainingMs(request) > 0) return startDeadlineTimer(id, request);
+    const Time now = clock_.now();
+    setDeadline(request, now);
+    gateway_.onDeadlineChange(id, now);
+  }
+  onDeadline(id);
+}
+
+void Gatekeeper::setDeadline(RequestInFlight& request, Time responseDueAt) {
+  request.bodyArriving = false;
+  request.responseDueAt = responseDueAt;
+  request.trace.deadline = responseDueAt + kResponseReserveMs;
+}
+
+// For the checks of the invariant monitor, while the body arrives. A response that has started has no
+// deadline.
+void Gatekeeper::updateTraceDeadline(RequestInFlight& request) const {
+  if (request.bodyArriving && !request.responseStarted)
+    request.trace.deadline = clock_.now() + remainingMs(request) + kResponseReserveMs;
+}
+
 void Gatekeeper::readBody(RequestId id, AttemptRequest::BodyPieceHandler onPiece) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
@@ -98,6 +134,8 @@
   found->second.responder->readBody([this, id, onPiece = std::move(onPiece)](std::string&& piece, bool last) {
     const auto request = requests_.find(id);
     if (request == requests_.end()) return;
+    // A worker starts a request at its last byte, so after the deadline it must not get that byte.
+    if (last && remainingMs(request->second) <= 0) return onDeadlineTimer(id);
     if (last) onRequestComplete(id, request->second);
     onPiece(std::move(piece), last);
   });
@@ -105,8 +143,7 @@
 
 void Gatekeeper::onRequestComplete(RequestId id, RequestInFlight& request) {
   const Time now = clock_.now();
-  request.responseDueAt = now + request.responseDueAfterMs;
-  request.trace.deadline = request.responseDueAt + kResponseReserveMs;
+  setDeadline(request, now + remainingMs(request));
   startDeadlineTimer(id, request);
   gateway_.onRequestComplete(now, id, request.responseDueAt);
 }
@@ -240,14 +277,14 @@
   if (found == requests_.end()) return;
   RequestInFlight& request = found->second;
   const Time now = clock_.now();
-  const Time remainingMs = request.responseDueAt - now;
+  const Time remaining = remainingMs(request);
   // The client may have disconnected although the pending read has not reported it yet. The connection is
   // closed from a posted handler, since closing it passes an event to the decision module.
   const bool disconnected = request.responder->hasDisconnected();
   if (disconnected) asio::post(io_, [responder = request.responder] { responder->closeDisconnected(); });
-  if (disconnected || remainingMs <= 0 || request.bodyForwarded)
+  if (disconnected || remaining <= 0 || request.bodyForwarded)
     return reportNotSent(id, request.attemptCount++, worker);
-  const bool beforeDeadline = timeout > 0 && timeout < remainingMs;
+  const bool beforeDeadline = timeout > 0 && timeout < remaining;
   if (request.attemptCount > 0) metrics_.retries.add(request.lastAttemptResult);
   request.attemptExpiresAt = beforeDeadline ? now + timeout : request.responseDueAt;
   monitor_.attemptConnecting(request.trace, worker, now);
@@ -257,11 +294,11 @@
 
 // `startAttempt` checks only a part of these conditions. All are checked before the first byte is sent:
 // establishing a connection may have taken time since the decision.
-SendRefusal Gatekeeper::refusalOf(RequestId id, WorkerId worker, Time now) const {
+SendRefusal Gatekeeper::refusalOf(RequestId id, WorkerId worker) const {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return SendRefusal::requestOver;
   if (found->second.responder->hasDisconnected()) return SendRefusal::clientDisconnected;
-  if (found->second.responseDueAt <= now) return SendRefusal::deadlinePassed;
+  if (remainingMs(found->second) <= 0) return SendRefusal::deadlinePassed;
   if (!readyWorkers_.contains(worker)) return SendRefusal::workerNotReady;
   if (excluded_.contains(worker)) return SendRefusal::workerExcluded;
   return SendRefusal::none;
@@ -273,14 +310,14 @@
 // connecting took.
 std::optional<std::string> Gatekeeper::authorizeSend(RequestId id, WorkerId worker) {
   const Time now = clock_.now();
-  const SendRefusal refusal = refusalOf(id, worker, now);
+  const SendRefusal refusal = refusalOf(id, worker);
   sendRefusals_.add(refusal);
   if (refusal != SendRefusal::none) return std::nullopt;
   RequestInFlight& request = requests_.at(id);
-  const Time remainingMs = request.body.streamed
-                               ? request.responseDueAfterMs
-                               : std::min(request.attemptExpiresAt, request.responseDueAt) - now;
-  const Time deadlineMs = std::max(1.0, std::floor(remainingMs));
+  Time remaining = remainingMs(request);
+  if (!request.bodyArriving) remaining = std::min(remaining, request.attemptExpiresAt - now);
+  const Time deadlineMs = std::max(1.0, std::floor(remaining));
+  updateTraceDeadline(request);
   monitor_.attemptSending(request.trace, worker, now, deadlineMs);
   return serializeAttempt(request.message, request.body, deadlineMs);
 }
@@ -335,6 +372,7 @@
 std::shared_ptr<Responder> Gatekeeper::conclude(RequestId id, invariant::RequestState finalState) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return nullptr;
+  updateTraceDeadline(found->second);
   monitor_.requestAnswered(found->second.trace, finalState, clock_.now());
   auto responder = std::move(found->second.responder);
   requests_.erase(found);
--- a/src/gatekeeper/request_in_flight.hpp
+++ b/src/gatekeeper/request_in_flight.hpp
@@ -22,9 +22,10 @@
   ClientMessage message;
   std::shared_ptr<Responder> responder;
   boost::asio::steady_timer deadlineTimer;
-  decision::Time responseDueAt = 0;  ///< when the response is due; while a body is uploaded, an upper bound
+  decision::Time responseDueAt = 0;       ///< when the response is due; an upper bound while `bodyArriving`
   decision::Time responseDueAfterMs = 0;  ///< from the request's last byte until `responseDueAt`
   BodyFraming body;                       ///< whether the body is streamed, and its length if known
+  bool bodyArriving = false;              ///< the last piece of a streamed body has not been delivered
   bool bodyForwarded = false;             ///< streamed body no longer in `message`: no retry possible
   bool responseStarted = false;           ///< a response is being streamed to the client
   unsigned attemptCount = 0;              ///< attempts started, including those not sent
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -467,33 +467,6 @@
   waitUntil([&] { return done; }, "the drain's end");
 }
 
-// A worker whose machine does not accept connections for a while: the listen backlog is full until `accept`.
-class ListenerWithFullBacklog {
- public:
-  explicit ListenerWithFullBacklog(asio::io_context& io) : acceptor_(io), first_(io), second_(io) {
-    acceptor_.open(tcp::v4());
-    acceptor_.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    acceptor_.listen(0);
-    first_.connect(acceptor_.local_endpoint());
-  }
-  std::string addressText() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
-  // Accepts the waiting and all later connections. The kernel of a client that is waiting retransmits its SYN
-  // after one second.
-  void accept() {
-    acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
-      if (error) return;
-      peers.push_back(std::make_shared<Peer>(std::move(socket)));
-      peers.back()->read();
-      accept();
-    });
-  }
-  std::vector<PeerPtr> peers;
-
- private:
-  tcp::acceptor acceptor_;
-  tcp::socket first_, second_;
-};
-
 // The deadline sent to a worker must be the client's remaining time when the request is written. Computed
 // when the connection is requested, it would be too long by the time that connecting takes.
 TEST_F(GatekeeperEndToEnd, TheDeadlineSentToAWorkerExcludesTheTimeToConnect) {
