Remove two close reasons that are never counted

Cause: CloseReason::malformedBody and processEnd were left without a use; their figures close.malformed_body and close.process_end were always 0. Change: both and their figures are gone. No other figure changes.

--- a/src/gatekeeper/close_reason.hpp
+++ b/src/gatekeeper/close_reason.hpp
@@ -21,16 +21,14 @@
   sendsAfterLastResponse,  ///< the client sent too much input after its last response
   writeTimeout,            ///< the client did not read its response within the write timeout
   bodyTimeout,             ///< the remaining body of an answered request timed out
-  malformedBody,           ///< never counted; its metric is still reported, as 0
   responseTruncated,       ///< a streamed response could not be completed
-  processEnd,              ///< never counted; its metric is still reported, as 0
 };
-constexpr std::size_t kCloseReasonCount = static_cast<std::size_t>(CloseReason::processEnd) + 1;
+constexpr std::size_t kCloseReasonCount = static_cast<std::size_t>(CloseReason::responseTruncated) + 1;
 
 /// Names in the metrics, in the order of CloseReason.
 inline constexpr std::array<std::string_view, kCloseReasonCount> kCloseReasonNames{
-    "peer_ended", "peer_broken",   "idle",         "evicted",        "evicted_silent", "last_answer",
-    "sends_on",   "write_timeout", "body_timeout", "malformed_body", "answer_cut",     "process_end"};
+    "peer_ended",  "peer_broken", "idle",          "evicted",      "evicted_silent",
+    "last_answer", "sends_on",    "write_timeout", "body_timeout", "answer_cut"};
 static_assert(!kCloseReasonNames.back().empty(), "every reason has a name");
 
 /// Whether the client closed or lost the connection, so that no response is expected.
