--- a/src/gatekeeper/client_server.cpp
+++ b/src/gatekeeper/client_server.cpp
@@ -20,7 +20,7 @@
 
 constexpr double kMinExpectedOverloadMs = 250;      // lower bound of the expected duration, before the jitter
 constexpr auto kAcceptRetryDelay = 50ms;            // after a shortage of descriptors or kernel memory
-constexpr auto kUnreadDataRetryDelay = 1ms;         // lets a due read handler run before the eviction
+constexpr auto kDueReadRetryDelay = 1ms;            // lets a due read handler run before the eviction
 constexpr auto kAcceptQueueDrainRetryDelay = 10ms;  // after a shortage of descriptors or memory
 
 // Whether the accept queue is empty. All other errors except a shortage concern one connection or an
@@ -213,7 +213,7 @@
     return false;
   }
   if (oldest->isReadDue()) {  // the read handler is about to run and responds
-    overflowTimer_.expires_after(kUnreadDataRetryDelay);
+    overflowTimer_.expires_after(kDueReadRetryDelay);
     overflowTimer_.async_wait([this](const Error& error) {
       if (!error && capacityWait_.isIn(WaitQueue::freeConnection)) accept();
     });
