One end of a request without the handler's response, with a typed reason

Cause: rejectPausedBody, rejectSlowBody and a part of onMalformedBody did the same but for the handler's call and the status, and the handler had two calls for it. Change: RequestHandler::onRequestEnded with RequestEnd, Connection::rejectBody. The two tests of a request in the moment of its time limit share their set-up.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -41,7 +41,7 @@
   abandon();
   const auto self = shared_from_this();
   server_.remove(self);
-  if (inFlight) server_.handler_.onClientDisconnect(requestId_);
+  if (inFlight) server_.handler_.onRequestEnded(requestId_, RequestEnd::clientDisconnected);
 }
 
 // Whether a request is at least partly read and the handler has not completed its response.
@@ -147,14 +147,17 @@
   // The read is paused for lack of memory, so the request is rejected for capacity, not as too slow.
   if (state_ == State::reading && requestStarted() && pausedRead_.awaitsMemory())
     return rejectForCapacity(WaitQueue::pausedRead);
-  if (state_ == State::inFlight && !bodyDone_ && pausedRead_.awaitsMemory()) return rejectPausedBody();
+  if (state_ == State::inFlight && !bodyDone_ && pausedRead_.awaitsMemory()) {
+    countRejection(WaitQueue::pausedRead);
+    return rejectBody(RequestEnd::bodyWithoutMemory, kNoCapacity, server_.rejectionRetryAfterMs());
+  }
   if (state_ == State::reading && requestStarted()) {
     countRejection(WaitQueue::incompleteRequest);
-    return reject({http::status::request_timeout, "too slow"});
+    return reject(kTooSlow);
   }
   if (state_ == State::inFlight && !bodyDone_) {
     countRejection(WaitQueue::incompleteRequest);
-    return rejectSlowBody();
+    return rejectBody(RequestEnd::bodyTooSlow, kTooSlow);
   }
   if (state_ == State::streaming) countRejection(WaitQueue::responseBodyWindow);
   if (state_ == State::responding) countRejection(WaitQueue::responseWrite);
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -27,6 +27,8 @@
 /// The response to a request for which there is no free connection slot or no memory.
 constexpr ImmediateResponse kNoCapacity{http::status::service_unavailable,
                                         "refused: no room, try again later"};
+/// The response to a request that its client sends too slowly.
+constexpr ImmediateResponse kTooSlow{http::status::request_timeout, "too slow"};
 
 /// Returns the close reason that a read or write error stands for.
 inline CloseReason closeReasonOf(const Error& error) {
@@ -165,9 +167,8 @@
   void respondReadiness(http::verb method);
   void reject(const ImmediateResponse& rejection, decision::Time retryAfterMs = 0);
   void rejectForCapacity(WaitQueue queue);
-  void rejectPausedBody();
-  void respondNoCapacity();
-  void rejectSlowBody();
+  void rejectBody(RequestEnd end, const ImmediateResponse& rejection, decision::Time retryAfterMs = 0);
+  void rejectRest(const ImmediateResponse& rejection, decision::Time retryAfterMs);
   void write();
   void onWritten();
 
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -286,8 +286,7 @@
   closeAfterResponse_ = true;
   if (state_ == State::discardingBody) return finishExchange();
   if (state_ != State::inFlight) return;
-  server_.handler_.onClientDisconnect(requestId_);
-  reject({status, "malformed request"});
+  rejectBody(RequestEnd::bodyMalformed, {status, "malformed request"});
 }
 
 void ClientServer::Connection::deliverBody() {
--- a/src/gatekeeper/client_connection_writing.cpp
+++ b/src/gatekeeper/client_connection_writing.cpp
@@ -91,27 +91,21 @@
     if (const auto* request = std::get_if<ParsedRequest>(&parsed))
       server_.handler_.onRequestRejected(request->classIndex);
   }
-  respondNoCapacity();
+  rejectRest(kNoCapacity, server_.rejectionRetryAfterMs());
 }
 
-// Ends a request in flight whose streamed body gets no memory. It has not run: no worker has its last byte.
-void ClientServer::Connection::rejectPausedBody() {
-  countRejection(WaitQueue::pausedRead);
-  server_.handler_.onBodyRejected(requestId_);
-  respondNoCapacity();
+// Ends a request in flight whose streamed body is not read on. It has not run: no worker has its last byte.
+void ClientServer::Connection::rejectBody(RequestEnd end, const ImmediateResponse& rejection,
+                                          decision::Time retryAfterMs) {
+  server_.handler_.onRequestEnded(requestId_, end);
+  rejectRest(rejection, retryAfterMs);
 }
 
-void ClientServer::Connection::respondNoCapacity() {
-  bodyDone_ = true;  // no more of the body is awaited
+// No more of the request is awaited.
+void ClientServer::Connection::rejectRest(const ImmediateResponse& rejection, decision::Time retryAfterMs) {
+  bodyDone_ = true;
   closeAfterResponse_ = true;
-  reject(kNoCapacity, server_.rejectionRetryAfterMs());
-}
-
-// Ends a request in flight whose streamed body arrives too slowly, and responds with 408.
-void ClientServer::Connection::rejectSlowBody() {
-  server_.handler_.onClientDisconnect(requestId_);
-  bodyDone_ = true;  // no more of the body is awaited
-  reject({http::status::request_timeout, "too slow"});
+  reject(rejection, retryAfterMs);
 }
 
 // --- Output ------------------------------------------------------------------------------------------------
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -77,8 +77,7 @@
   decision::RequestId nextRequestId() override { return ++lastRequestId_; }
   void onRequest(decision::RequestId id, const ParsedRequest& parsed, ClientMessage&& message,
                  const std::shared_ptr<Responder>& responder) override;
-  void onClientDisconnect(decision::RequestId id) override;
-  void onBodyRejected(decision::RequestId id) override;
+  void onRequestEnded(decision::RequestId id, RequestEnd end) override;
   void onRequestRejected(unsigned classIndex) override;
   void onClosedUnanswered(CloseReason reason) override;
 
@@ -141,7 +140,6 @@
   void onDeadline(decision::RequestId id);
   void readBody(decision::RequestId id, AttemptRequest::BodyPieceHandler onPiece);
   void onRequestComplete(decision::RequestId id, RequestInFlight& request);
-  void endWithoutResponse(RequestTable::iterator found);
   AttemptRequest attemptRequest(decision::RequestId id, const RequestInFlight& request,
                                 decision::WorkerId worker);
   std::optional<std::string> authorizeSend(decision::RequestId id, decision::WorkerId worker);
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -148,28 +148,16 @@
   gateway_.onRequestComplete(now, id, request.responseDueAt);
 }
 
-void Gatekeeper::onClientDisconnect(RequestId id) {
+void Gatekeeper::onRequestEnded(RequestId id, RequestEnd end) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
-  ++found->second.classCounts->failure;
-  endWithoutResponse(found);
-}
-
-void Gatekeeper::onBodyRejected(RequestId id) {
-  const auto found = requests_.find(id);
-  if (found == requests_.end()) return;
-  ++finalResponses_.rejected;
-  ++found->second.classCounts->rejected;
-  endWithoutResponse(found);
-}
-
-// Ends a request to which no response of the decision module is sent any more.
-void Gatekeeper::endWithoutResponse(RequestTable::iterator found) {
-  const RequestId id = found->first;
+  const bool rejected = end == RequestEnd::bodyWithoutMemory;
+  finalResponses_.rejected += rejected;
+  ++(rejected ? found->second.classCounts->rejected : found->second.classCounts->failure);
   monitor_.clientClosed(found->second.trace, clock_.now());
   requests_.erase(found);
   gateway_.onClientDisconnect(clock_.now(), id);
-  if (auto end = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*end));
+  if (auto attempt = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*attempt));
 }
 
 // An attempt in flight is reported to the decision module as timed out, at a time that is never before the
--- a/src/gatekeeper/request_handler.hpp
+++ b/src/gatekeeper/request_handler.hpp
@@ -44,6 +44,14 @@
   virtual void closeDisconnected() = 0;
 };
 
+/// Why a request in flight ends without a response of the handler.
+enum class RequestEnd {
+  clientDisconnected,
+  bodyMalformed,      ///< the rest of the body is malformed or exceeds a limit
+  bodyTooSlow,        ///< the client sends the body too slowly, or has stopped
+  bodyWithoutMemory,  ///< the rest of the body gets no memory
+};
+
 /// Receives the clients' requests. Called on the event loop.
 class RequestHandler {
  public:
@@ -55,12 +63,9 @@
   /// Handles a request. `responder` gets one response, possibly before this returns.
   virtual void onRequest(decision::RequestId id, const ParsedRequest& request, ClientMessage&& message,
                          const std::shared_ptr<Responder>& responder) = 0;
-  /// The client of a request in flight has disconnected, or its body is malformed or too slow: the handler's
-  /// response is no longer needed.
-  virtual void onClientDisconnect(decision::RequestId id) = 0;
-  /// The rest of the body of a request in flight gets no memory: the connection rejects the request, and the
-  /// handler's response is no longer needed.
-  virtual void onBodyRejected(decision::RequestId id) = 0;
+  /// A request in flight has ended: the handler's response is no longer needed. Unless the client has
+  /// disconnected, the connection responds.
+  virtual void onRequestEnded(decision::RequestId id, RequestEnd end) = 0;
   /// A request of this class was rejected by the client server, without a call of `onRequest`.
   virtual void onRequestRejected(unsigned classIndex) = 0;
   /// A connection was closed by the server while a request on it was unanswered.
--- a/tests/client_server_test.cpp
+++ b/tests/client_server_test.cpp
@@ -17,6 +17,17 @@
     server.emplace(io, config, limits, handler, overloadManager);
     server->start();
   }
+  // Connects a client with a short limit for its first request, and lets the limit pass unseen: its timer and
+  // whatever the client sends then are due in the same turn of the event loop.
+  PeerPtr connectAndLetTheTimeLimitPass() {
+    ClientServer::Limits limits;
+    limits.firstRequestTimeout = 100ms;
+    open(limits);
+    const auto client = connectTo(server->address());
+    waitUntil([&] { return server->connections() == 1; }, "the accept");
+    std::this_thread::sleep_for(limits.firstRequestTimeout + 20ms);
+    return client;
+  }
   Config config;
   RecordingHandler handler;
   OverloadManager overloadManager{io, budgetSharesFor({std::size_t{64} << 20}), OverloadState::Limits{}};
@@ -73,12 +84,7 @@
 
 // Guards against a header without a time limit: its first bytes are unread as the limit of the accept passes.
 TEST_F(ClientConnections, AHeaderThatBeginsAsTheTimeLimitPassesIsTimedOut) {
-  ClientServer::Limits limits;
-  limits.firstRequestTimeout = 100ms;
-  open(limits);
-  const auto client = connectTo(server->address());
-  waitUntil([&] { return server->connections() == 1; }, "the accept");
-  std::this_thread::sleep_for(limits.firstRequestTimeout + 20ms);
+  const auto client = connectAndLetTheTimeLimitPass();
   client->send(TestRequest().text().substr(0, 40));
   waitUntil([&] { return client->closedByPeer; }, "the connection ends");
   EXPECT_TRUE(client->has("HTTP/1.1 408")) << client->received;
@@ -86,12 +92,7 @@
 
 // The same moment, but the request is complete: it is served.
 TEST_F(ClientConnections, ARequestThatArrivesAsTheTimeLimitPassesIsServed) {
-  ClientServer::Limits limits;
-  limits.firstRequestTimeout = 100ms;
-  open(limits);
-  const auto client = connectTo(server->address());
-  waitUntil([&] { return server->connections() == 1; }, "the accept");
-  std::this_thread::sleep_for(limits.firstRequestTimeout + 20ms);
+  const auto client = connectAndLetTheTimeLimitPass();
   client->send(TestRequest().text());
   waitUntil([&] { return handler.lastRequestId == 1 || client->closedByPeer; }, "a request in flight");
   EXPECT_EQ(handler.lastRequestId, 1u);
@@ -149,7 +150,7 @@
   EXPECT_EQ(handler.lastRequestId, 1u);
   first->close();
   waitUntil([&] { return handler.lastRequestId == 2; }, "the second request");
-  EXPECT_EQ(handler.disconnects, 1);
+  EXPECT_EQ(handler.ends, std::vector{RequestEnd::clientDisconnected});
 }
 
 TEST_F(ClientConnections, ARequestGetsOnlyOneFinalResponse) {
--- a/tests/recording_handler.hpp
+++ b/tests/recording_handler.hpp
@@ -19,16 +19,14 @@
                  const std::shared_ptr<Responder>& responder) override {
     responders.push_back(responder);
   }
-  void onClientDisconnect(decision::RequestId) override { ++disconnects; }
-  void onBodyRejected(decision::RequestId) override { ++rejectedBodies; }
+  void onRequestEnded(decision::RequestId, RequestEnd end) override { ends.push_back(end); }
   void onRequestRejected(unsigned) override { ++rejections; }
   void onClosedUnanswered(CloseReason reason) override {
     ADD_FAILURE() << "connection closed with an unanswered request, reason " << static_cast<int>(reason);
   }
   decision::RequestId lastRequestId = 0;
-  int disconnects = 0;
-  int rejections = 0;      ///< requests that the server rejected without a call of `onRequest`
-  int rejectedBodies = 0;  ///< requests in flight whose body the server rejected
+  int rejections = 0;            ///< requests that the server rejected without a call of `onRequest`
+  std::vector<RequestEnd> ends;  ///< why requests in flight ended without a response of the handler
   std::vector<std::shared_ptr<Responder>> responders;
 };
 
