Test the decision module's changed deadline; say when a body's lag jumps

Cause: onDeadlineChange was tested through sockets alone, and bodyLagMs promised more than it holds after a pause of the process.

--- a/src/gatekeeper/request_handler.hpp
+++ b/src/gatekeeper/request_handler.hpp
@@ -34,9 +34,8 @@
   /// Requests the next piece of a streamed request body. `onPiece` is called after this returns; it is not
   /// called if the client disconnects.
   virtual void readBody(BodyPieceHandler onPiece) = 0;
-  /// Upper bound in ms of the time since the client sent the last byte of its request, for a streamed body
-  /// that has not been delivered to its end. 0 if the client has certainly not sent it. Grows by no more than
-  /// the time that passes.
+  /// The lag of the request's body in ms (`BodyLag`): at least the time since the client sent the last byte,
+  /// if it has sent it. Grows by no more than the time that passes, except after the process stood still.
   virtual decision::Time bodyLagMs() = 0;
   /// Whether the client has disconnected, even if bytes sent before that are still unread.
   virtual bool hasDisconnected() = 0;
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -36,6 +36,21 @@
   EXPECT_TRUE(harness.wasForwarded(harness.sendRequest(0)));
 }
 
+// Guards against a further attempt for an upload whose deadline has passed before its body was complete.
+TEST(Attempts, AnAttemptThatEndsAfterAChangedDeadlineIsNotRepeated) {
+  GatewayHarness harness;
+  harness.updateEndpoints({endpoint(1), endpoint(2)});
+  const RequestId changed = harness.sendRequest(0), unchanged = harness.sendRequest(0);
+  harness.gateway.onDeadlineChange(changed, harness.now);
+  harness.endAttempt(changed, AttemptResult::connectFailed);
+  harness.endAttempt(unchanged, AttemptResult::connectFailed);
+  EXPECT_TRUE(harness.wasRejected(changed));
+  EXPECT_EQ(harness.attemptCount(changed), 1u);
+  EXPECT_EQ(harness.attemptCount(unchanged), 2u);
+  harness.gateway.onDeadlineChange(changed, harness.now);  // an ended request: no effect
+  EXPECT_EQ(harness.gateway.requestsInFlight(), 1u);
+}
+
 TEST(Attempts, NonIdempotentRequestThatMayHaveRunFailsWithoutRetry) {
   for (const AttemptResult result :
        {AttemptResult::error, AttemptResult::timeout, AttemptResult::reset, AttemptResult::cancelled}) {
