Tests: count polls with ppoll, which every architecture has

Cause: on arm64 the kernel has no system call poll, so accept_cost_test.cpp did not compile (SYS_poll was not declared). Change: the counting stand-in of poll calls ppoll, with the same meaning of its timeout. Result: the tests build on arm64; nothing of what is counted or compared changed.

--- a/tests/accept_cost_test.cpp
+++ b/tests/accept_cost_test.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <cstdarg>
+#include <ctime>
 
 #include "loopback.hpp"
 #include "recording_handler.hpp"
@@ -38,7 +39,10 @@
 }
 int poll(pollfd* descriptors, nfds_t count, int timeout) {
   socketQueries += count;
-  return static_cast<int>(syscall(SYS_poll, descriptors, count, timeout));
+  // Not every architecture has a system call `poll`; all have `ppoll`.
+  timespec wait{timeout / 1000, timeout % 1000 * 1000000L};
+  return static_cast<int>(
+      syscall(SYS_ppoll, descriptors, count, timeout < 0 ? nullptr : &wait, nullptr, std::size_t{0}));
 }
 }
 
