--- /dev/null
+++ b/tests/staging_test.cpp
@@ -0,0 +1,181 @@
+// Tests of the gatekeeper program against the faults of the staging run: slow responses without a length,
+// connections to workers that are established late, and clients that leave.
+#include <set>
+
+#include "program_under_faults.hpp"
+
+namespace wingslip::test {
+namespace {
+
+using namespace std::chrono_literals;
+using Steady = std::chrono::steady_clock;
+
+class StagingFaults : public GatekeeperUnderFaults {
+ protected:
+  /// The configuration with short times: a response that may be retried is awaited for 400 ms, and keyed
+  /// requests may be repeated for 700 ms.
+  json stagingConfig() {
+    json configuration = config();
+    json& classes = configuration["settings"]["profiles"];
+    for (json& requestClass : classes) {
+      requestClass["aim"] = 400.0;
+      requestClass["deadline"] = 3000.0;
+    }
+    classes[1]["aim"] = 3000.0;
+    classes[1]["window"] = 700.0;
+    classes[1]["dedupScope"] = "all";
+    return configuration;
+  }
+
+  void runFor(std::chrono::milliseconds span) {
+    const auto until = Steady::now() + span;
+    while (Steady::now() < until) {
+      io.restart();
+      io.run_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  PeerPtr workerOf(Listener& listener, const std::string& id) {
+    const auto find = [&]() -> PeerPtr {
+      for (const PeerPtr& peer : listener.peers)
+        if (peer->has(id)) return peer;
+      return nullptr;
+    };
+    waitUntil([&] { return find() != nullptr; }, "the request at the worker");
+    return find();
+  }
+};
+
+/// How a worker writes a response that has no Content-Length.
+struct SlowResponse {
+  const char* name;
+  bool chunked;
+  std::chrono::milliseconds headDelay;  ///< from the request to the header
+  std::chrono::milliseconds bodyDelay;  ///< from the header to the first piece
+  std::chrono::milliseconds interval;   ///< between two pieces
+  std::size_t pieceBytes;
+  std::size_t pieces;
+  const char* clientDeadlineMs;
+};
+
+class SlowResponseWithoutLength : public StagingFaults, public ::testing::WithParamInterface<SlowResponse> {};
+
+// Guards against cutting off a response of unknown length that the worker is still writing when its attempt
+// or its request runs out of time.
+TEST_P(SlowResponseWithoutLength, IsNotCutOffWhileTheWorkerIsWriting) {
+  const SlowResponse& slow = GetParam();
+  GatekeeperProcess program(folder, stagingConfig(), {});
+  waitUntilReady();
+  TestRequest request;
+  request.deadline = slow.clientDeadlineMs;
+  const auto sentAt = Steady::now();
+  const auto client = sendRequest(request);
+  const auto workerPeer = workerOf(worker, request.id);
+  runFor(slow.headDelay);
+  workerPeer->send(slow.chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                : "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+  runFor(slow.bodyDelay);
+  std::optional<Steady::time_point> firstByteAt;
+  for (std::size_t piece = 0; piece < slow.pieces; ++piece) {
+    std::string bytes(slow.pieceBytes, static_cast<char>('a' + piece % 26));
+    if (slow.chunked) {
+      std::string chunk;
+      appendChunk(chunk, bytes, piece + 1 == slow.pieces);
+      bytes = std::move(chunk);
+    }
+    workerPeer->send(bytes);
+    if (piece + 1 < slow.pieces) runFor(slow.interval);
+    if (!firstByteAt && !client->received.empty()) firstByteAt = Steady::now();
+  }
+  if (!slow.chunked) workerPeer->close();
+  waitUntil([&] { return client->has("0\r\n\r\n") || client->has("HTTP/1.1 429") || client->closedByPeer; },
+            "the end of the response");
+  EXPECT_EQ(client->received.rfind("HTTP/1.1 200", 0), 0u) << client->received.substr(0, 200);
+  std::size_t bodyBytes = 0;
+  for (std::size_t letter = 0; letter < std::min<std::size_t>(26, slow.pieces); ++letter)
+    bodyBytes += static_cast<std::size_t>(
+        std::count(client->received.begin() + static_cast<std::ptrdiff_t>(client->received.find("\r\n\r\n")),
+                   client->received.end(), static_cast<char>('a' + letter)));
+  EXPECT_GE(bodyBytes, slow.pieceBytes * slow.pieces);
+  EXPECT_TRUE(client->has("0\r\n\r\n")) << "the response is not complete";
+  ASSERT_TRUE(firstByteAt);
+  EXPECT_LT(*firstByteAt - sentAt, std::chrono::milliseconds(std::stoi(slow.clientDeadlineMs)) + 50ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Forms, SlowResponseWithoutLength,
+    ::testing::Values(SlowResponse{"SteadyUntilClose", false, 15ms, 0ms, 50ms, 4000, 42, "881"},
+                      SlowResponse{"SteadyInChunks", true, 27ms, 0ms, 50ms, 5000, 32, "552"},
+                      SlowResponse{"LumpsInChunks", true, 13ms, 0ms, 1100ms, 50000, 3, "800"},
+                      SlowResponse{"LumpsUntilClose", false, 13ms, 0ms, 1100ms, 50000, 3, "626"},
+                      SlowResponse{"LateBody", true, 21ms, 900ms, 100ms, 19000, 5, "1656"},
+                      SlowResponse{"LateBodyWithALongDeadline", false, 21ms, 1500ms, 100ms, 19000, 5,
+                                   "2900"}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
+// Guards against a response of unknown length that never ends and keeps its client waiting: the request gets
+// its end, visibly incomplete, within half a second after its deadline.
+TEST_F(StagingFaults, AShortResponseThatNeverEndsIsEndedAtTheDeadline) {
+  GatekeeperProcess program(folder, stagingConfig(), {});
+  waitUntilReady();
+  for (const char* text : {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                           "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"}) {
+    TestRequest request;
+    request.deadline = "1000";
+    const auto sentAt = Steady::now();
+    const auto client = sendRequest(request);
+    waitUntil([&] { return !worker.peers.empty() && worker.peers.back()->has(request.id); }, "a request");
+    const PeerPtr workerPeer = worker.peers.back();
+    workerPeer->send(text);
+    waitUntil([&] { return client->closedByPeer || client->has("HTTP/1.1 429"); }, "the end");
+    EXPECT_LT(Steady::now() - sentAt, 1550ms) << client->received;
+    EXPECT_FALSE(client->has("0\r\n\r\n"));
+    workerPeer->close();
+  }
+}
+
+// Guards against sending a keyed request again after its idempotency window, on a connection that was chosen
+// within the window and established after it.
+TEST_F(StagingFaults, AKeyedRequestIsNotRepeatedAfterItsWindowOverALateConnection) {
+  ListenerWithFullBacklog lateWorker(io);
+  json configuration = stagingConfig();
+  configuration["known"] =
+      json::parse(endpointListJson(1, true,
+                                   json::array({endpointEntryJson("s-1", worker.addressText()),
+                                                endpointEntryJson("s-2", lateWorker.addressText())})));
+  GatekeeperProcess program(folder, configuration, {});
+  waitUntilReady();
+  int repeatsTried = 0;
+  for (int i = 0; i < 12 && repeatsTried < 3; ++i) {
+    TestRequest request;
+    request.requestClass = "edit";
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", 0xd00 + i);
+    request.id = id;
+    request.deadline = "3000";
+    const std::size_t before = worker.count("\r\n\r\n");
+    const auto client = sendRequest(request);
+    runFor(100ms);
+    if (worker.count("\r\n\r\n") == before) {  // the late worker was chosen first
+      client->close();
+      continue;
+    }
+    const PeerPtr workerPeer = workerOf(worker, request.id);
+    runFor(300ms);
+    workerPeer->reset();
+    ++repeatsTried;
+    runFor(250ms);        // the repeat is chosen within the window of 700 ms
+    lateWorker.accept();  // the kernel repeats its SYN one second after the first one
+    waitUntil([&] { return client->has("\r\n\r\n") || client->closedByPeer; }, "the final answer");
+    for (const PeerPtr& peer : lateWorker.peers)
+      EXPECT_FALSE(peer->has(request.id)) << "sent again after the window";
+    break;
+  }
+  EXPECT_EQ(repeatsTried, 1);
+  EXPECT_EQ(
+      runOperatorCommand("telemetry").find("svc.invariant.unsafe_request_resent:0|c") != std::string::npos,
+      true);
+}
+
+}  // namespace
+}  // namespace wingslip::test
