Pass on a response without a length instead of cutting it off at a time-out

Cause: a 200 without a Content-Length is held until 64 KiB have come, and until then it counts as no answer at all: the attempt's time-out and the request's deadline ended it, however much had arrived.

Change: the attempt's time-out ends no response that has begun without a length. From a window (16 KiB) on it is streamed there, else at the request's deadline at the latest, head first. One that has brought less than a window 400 ms after the deadline is ended visibly incomplete, since the final answer is due 500 ms after it. The invariant monitor asks a long response (over 64 KiB) for its start in time and a short one for its end; before, it counted each long response that ended late.

--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -20,6 +20,9 @@
 // Part of the client's deadline that is reserved for returning the response to the client. Of it,
 // this process takes 0.4 ms at the 99th percentile.
 constexpr Time kResponseReserveMs = 10;
+// From the deadline until a response without a length must have brought a whole window of its body to count
+// as a long one. The final answer is due 500 ms after the deadline.
+constexpr Time kShortResponseGraceMs = 400;
 constexpr Time kMaxUploadMs = 30 * 60 * 1000;     // longer than the slowest client takes to send a body
 constexpr Time kRetryAfterBeforeServingMs = 250;  // Retry-After of requests rejected before serving starts
 
@@ -160,13 +163,15 @@
   if (auto attempt = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*attempt));
 }
 
-// An attempt in flight is reported to the decision module as timed out, at a time that is never before the
+// A response without a length that has begun is passed on from now on, for it may be a long one. Any other
+// attempt in flight is reported to the decision module as timed out, at a time that is never before the
 // deadline. The client gets a response now, even if the decision module then starts another attempt, which
 // `fail` cancels.
 void Gatekeeper::onDeadline(RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second.responseStarted) return;
   if (!serving_) return reject(id, kRetryAfterBeforeServingMs);
+  if (pool_.streamUnfinishedResponse(id)) return;
   if (auto end = pool_.cancelAttempt(id, AttemptResult::timeout)) {
     end->outcome.requestFinished = false;
     recordAttemptEnd(end->outcome);
@@ -227,14 +232,26 @@
   if (found == requests_.end()) return;
   found->second.responseStarted = true;
   found->second.deadlineTimer.cancel();
+  if (!length) startShortResponseTimer(id, found->second);
   monitor_.responseStreaming(found->second.trace, clock_.now());
   gateway_.onResponseStarted(clock_.now(), id);
   found->second.responder->startStream({contentType, length});
 }
 
+// Without a length, a response that the worker never ends cannot be told from a long one until it has brought
+// some of its body.
+void Gatekeeper::startShortResponseTimer(RequestId id, RequestInFlight& request) {
+  const Time endsAt = request.responseDueAt + kResponseReserveMs + kShortResponseGraceMs;
+  request.deadlineTimer.expires_after(toDuration(endsAt - clock_.now()));
+  request.deadlineTimer.async_wait([this, id](const Error& error) {
+    if (!error) pool_.endShortResponse(id);
+  });
+}
+
 void Gatekeeper::forwardPiece(RequestId id, std::string&& piece) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
+  found->second.trace.streamedBytes += piece.size();
   const auto responder = found->second.responder;
   responder->sendPiece(std::move(piece), false, [this, id] { pool_.resumeResponse(id); });
 }
@@ -244,6 +261,7 @@
   end.outcome.requestFinished = true;
   const auto found = requests_.find(end.outcome.id);
   const bool complete = end.outcome.result == AttemptResult::ok;
+  found->second.trace.streamedBytes += end.body.size();
   ++(complete ? finalResponses_.served : finalResponses_.failed);
   ++(complete ? found->second.classCounts->success : found->second.classCounts->failure);
   const auto responder = conclude(
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -123,6 +123,10 @@
     return serializeAndWrite();
   }
   if (!busy_) return owner_.closeConnection(*this);
+  if (expired && awaitsRestOfResponse()) {
+    if (response_.bodyBytes() >= kStreamReadBytes) streamUnfinishedResponse();
+    return;
+  }
   WaitQueue queue = connected_ ? WaitQueue::awaitingResponse : WaitQueue::connecting;
   if (expectsBodyPieces()) queue = WaitQueue::requestBodyWindow;
   context_.overload.waitQueues().countRejection(queue);
@@ -324,12 +328,28 @@
   }
   if (state == UpstreamResponse::State::complete) return onResponse(true);
   if (!streaming_) return read();
+  forwardBody();
+}
+
+void UpstreamConnection::forwardBody() {
   std::string piece = response_.takeBody();
-  if (piece.empty()) return read();
+  if (piece.empty()) return resumeResponse();
   timer_.cancel();  // no timeout runs while the consumer handles the piece
   context_.streams.onBodyPiece(outcome_.id, std::move(piece));
 }
 
+bool UpstreamConnection::streamUnfinishedResponse() {
+  if (!awaitsRestOfResponse()) return false;
+  startStreaming();
+  forwardBody();
+  return true;
+}
+
+void UpstreamConnection::endShortResponse() {
+  if (!busy_ || !streaming_ || !response_.isUnfinishedWithoutLength()) return;
+  if (response_.bodyBytes() < kStreamReadBytes) endAttempt(AttemptResult::timeout);
+}
+
 void UpstreamConnection::startStreaming() {
   streaming_ = true;
   expiresAt_ = Clock::time_point::max();
@@ -338,7 +358,8 @@
 }
 
 void UpstreamConnection::resumeResponse() {
-  if (ended() || !busy_ || !streaming_ || reading_) return;
+  if (ended() || !busy_ || !streaming_) return;
+  if (reading_) return armTimer(Clock::now() + context_.limits.streamStallTimeout);
   read();
 }
 
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -83,6 +83,12 @@
   decision::AttemptOutcome stopAttempt(decision::AttemptResult result);
   /// Resumes reading a streamed response when its consumer is ready for the next piece.
   void resumeResponse();
+  /// Starts to stream a response that the worker is still writing and that has no stated length. Without a
+  /// length, its attempt would otherwise end although the response is on its way. Returns whether it has
+  /// started: false if there is no such response, or if it is streamed already.
+  bool streamUnfinishedResponse();
+  /// Ends a streamed response without a stated length if its body is still shorter than one window.
+  void endShortResponse();
 
   decision::RequestId requestId() const { return outcome_.id; }
   /// Whether the current attempt is still connecting or in quarantine, so that none of its bytes has been
@@ -104,6 +110,10 @@
 
  private:
   bool expectsBodyPieces() const { return readBody_ != nullptr; }
+  // Whether a response without a stated length has begun and is not streamed yet.
+  bool awaitsRestOfResponse() const {
+    return busy_ && !streaming_ && requestWritten_ && response_.isUnfinishedWithoutLength();
+  }
   void recordWait(WaitQueue queue);
   std::size_t memoryBytes(std::size_t nextReadBytes) const;
   void recordLatency();
@@ -124,6 +134,7 @@
   void onReadableWhileIdle();
   void parseResponse();
   void startStreaming();
+  void forwardBody();
   void onConnectionLost(const Error& error);
   void onResponse(bool complete);
   void endAttempt(decision::AttemptResult result);
--- a/src/gatekeeper/upstream_pool.cpp
+++ b/src/gatekeeper/upstream_pool.cpp
@@ -122,6 +122,20 @@
   connection->resumeResponse();
 }
 
+bool UpstreamPool::streamUnfinishedResponse(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return false;
+  const ConnectionPtr connection = found->second;
+  return connection->streamUnfinishedResponse();
+}
+
+void UpstreamPool::endShortResponse(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return;
+  const ConnectionPtr connection = found->second;
+  connection->endShortResponse();
+}
+
 void UpstreamPool::onAttemptDone(UpstreamConnection& connection, AttemptEnd&& end) {
   const auto found = busy_.find(end.outcome.id);
   if (found != busy_.end() && found->second.get() == &connection) removeBusy(end.outcome.id);
--- a/src/gatekeeper/upstream_pool.hpp
+++ b/src/gatekeeper/upstream_pool.hpp
@@ -66,6 +66,10 @@
   std::optional<AttemptEnd> cancelAttempt(decision::RequestId id, decision::AttemptResult result);
   /// Resumes reading the request's streamed response when its consumer is ready for the next piece.
   void resumeResponse(decision::RequestId id);
+  /// See `UpstreamConnection::streamUnfinishedResponse`. False if the request has no attempt in flight.
+  [[nodiscard]] bool streamUnfinishedResponse(decision::RequestId id);
+  /// See `UpstreamConnection::endShortResponse`. Calls `AttemptDone` if it ends the attempt.
+  void endShortResponse(decision::RequestId id);
 
   /// Attempts not started because of the connection limit or the memory budget, since the start.
   std::uint64_t localResourceShortages() const { return localResourceShortages_; }
--- a/src/gatekeeper/upstream_response.cpp
+++ b/src/gatekeeper/upstream_response.cpp
@@ -52,6 +52,7 @@
   parser_.emplace();
   parser_->body_limit(kMaxBodyBytes);
   parser_->header_limit(kMaxHeaderBytes);
+  takenBodyBytes_ = 0;
 }
 
 UpstreamResponse::State UpstreamResponse::parse(RequestProgress request) {
--- a/src/gatekeeper/upstream_response.hpp
+++ b/src/gatekeeper/upstream_response.hpp
@@ -50,6 +50,12 @@
   /// Whether the header is complete and the body, by its Content-Length or as read so far, exceeds
   /// `kMaxBufferedBodyBytes` bytes.
   bool exceedsBuffer() const;
+  /// Whether this is a 200 whose header states no length and whose end has not been received.
+  bool isUnfinishedWithoutLength() const {
+    return parser_->is_header_done() && isOk() && !parser_->content_length() && !parser_->is_done();
+  }
+  /// Bytes of the body received so far, including those that `takeBody` has moved out.
+  std::size_t bodyBytes() const { return takenBodyBytes_ + parser_->get().body().size(); }
   /// Whether the connection may carry another request: no bytes remain unparsed, and the response
   /// permits a persistent connection.
   bool allowsReuse() const;
@@ -63,7 +69,10 @@
   void describe(decision::AttemptOutcome& outcome, const std::vector<std::string>& reportFields) const;
 
   /// Moves out the part of the body received so far.
-  std::string takeBody() { return std::exchange(parser_->get().body(), {}); }
+  std::string takeBody() {
+    takenBodyBytes_ += parser_->get().body().size();
+    return std::exchange(parser_->get().body(), {});
+  }
   std::size_t bodyCapacity() const { return parser_ ? parser_->get().body().capacity() : 0; }
   std::size_t bufferedBytes() const { return input_.size(); }
   /// Memory in bytes that the response uses if the next read delivers `nextReadBytes` bytes.
@@ -77,6 +86,7 @@
 
   beast::flat_buffer input_;
   std::optional<http::response_parser<WindowBody>> parser_;
+  std::size_t takenBodyBytes_ = 0;
 };
 
 }  // namespace wingslip
--- a/src/invariant/monitor.hpp
+++ b/src/invariant/monitor.hpp
@@ -44,6 +44,9 @@
   static constexpr Time kDeadlineToleranceMs = 150;
   /// Time after the deadline until an answer counts as missing.
   static constexpr Time kAnswerToleranceMs = 500;
+  /// Size in bytes up to which the last byte of a response is due at the deadline. The start of a longer
+  /// response is due then.
+  static constexpr std::size_t kMaxTimedResponseBytes = 64 * 1024;
   /// Number of recorded workers above which removed workers are erased.
   static constexpr std::size_t kMaxWorkers = 16384;
 
@@ -111,6 +114,7 @@
 
   void violated(Invariant invariant, Time now, const std::string& detail);
   void violated(Invariant invariant, Time now, const RequestTrace& trace, const std::string& detail);
+  void checkAnswerTime(const RequestTrace& trace, Time now);
   void checkDeadline(const RequestTrace& trace, Time now, Time timeoutMs);
   void checkRetry(const RequestTrace& trace, Time now);
   void checkWorker(const RequestTrace& trace, decision::WorkerId worker, Time now);
--- a/src/invariant/request_trace.hpp
+++ b/src/invariant/request_trace.hpp
@@ -46,9 +46,10 @@
   std::string requestId;  ///< as received from the client, for the log
   Time deadline = 0;      ///< the client's deadline; moves while the request body is arriving
   decision::Idempotency idempotency = decision::Idempotency::notIdempotent;
-  Time idempotencyWindowMs = 0;  ///< deduplication period of an idempotency key, from the first
-                                 ///< attempt that may have run
-  unsigned maxAttempts = 1;      ///< including the first attempt
+  Time idempotencyWindowMs = 0;   ///< deduplication period of an idempotency key, from the first
+                                  ///< attempt that may have run
+  unsigned maxAttempts = 1;       ///< including the first attempt
+  std::size_t streamedBytes = 0;  ///< body of a streamed response passed on so far, bytes
 
   /// @return the stored steps, oldest first, with times in ms relative to `now`.
   std::string text(Time now) const;
--- a/tests/invariant_test.cpp
+++ b/tests/invariant_test.cpp
@@ -201,5 +201,23 @@
   EXPECT_EQ(std::count(text.begin(), text.end(), '@'), static_cast<long>(RequestTrace::kMaxSteps));
 }
 
+// Of a long response the first bytes are due at the deadline, of a short one the last.
+TEST(LongResponses, TheStartOfALongStreamedResponseAndTheEndOfAShortOneAreDue) {
+  Monitor monitor([](const std::string&) {}, [] { return 0.0; });
+  const auto answer = [&](Time startedAt, Time endedAt, std::size_t bytes) {
+    RequestTrace trace;
+    trace.deadline = 1000;
+    monitor.requestReceived(trace, 0);
+    monitor.responseStreaming(trace, startedAt);
+    trace.streamedBytes = bytes;
+    monitor.requestAnswered(trace, RequestState::answered, endedAt);
+    return monitor.count(Invariant::requestUnanswered);
+  };
+  EXPECT_EQ(answer(900, 9000, Monitor::kMaxTimedResponseBytes + 1), 0u);
+  EXPECT_EQ(answer(900, 1400, Monitor::kMaxTimedResponseBytes), 0u);
+  EXPECT_EQ(answer(900, 1600, Monitor::kMaxTimedResponseBytes), 1u);
+  EXPECT_EQ(answer(1600, 9000, Monitor::kMaxTimedResponseBytes + 1), 2u);
+}
+
 }  // namespace
 }  // namespace wingslip::invariant
