Ask whether a repeat is still permitted in the moment of its first and last byte

Cause: retry_policy looked at the window when the further attempt was chosen. Its connection came up a second later (the kernel repeats a SYN after 1 s), and nothing asked again; refusalOf checked the client, the deadline and the worker alone.

Change: Gateway::maySend asks the same policy (class, window, number of attempts) once more. refusalOf calls it before the first byte (SendRefusal::repeatNotAllowed, figure not_sent.repeat_over), and a request that is written in parts is asked before each further write, since it counts from its last byte. An attempt that is not permitted any more ends as never sent, so the final answer follows the class.

--- a/include/wingslip/decision/gateway.hpp
+++ b/include/wingslip/decision/gateway.hpp
@@ -129,6 +129,10 @@
   /// Ends an attempt; a second outcome of the same attempt is ignored. May start a retry or send the final
   /// answer.
   void onAttemptOutcome(Time now, const AttemptOutcome& outcome);
+  /// Whether the request's attempt in flight, of which the worker does not have the last byte yet, may still
+  /// be sent. Time may have passed since Actions::startAttempt: the idempotency window may be over, or
+  /// changed settings may permit fewer attempts.
+  [[nodiscard]] bool maySend(Time now, RequestId id) const;
   /// The client disconnected. An attempt in flight must still be reported with onAttemptOutcome.
   void onClientDisconnect(Time now, RequestId id);
   /// The response of the attempt in flight is being sent to the client.
--- a/src/decision/gateway.cpp
+++ b/src/decision/gateway.cpp
@@ -121,6 +121,11 @@
     if (PendingRequest* pending = requests_.find(id)) pending->request.expiresAt = expiresAt;
   }
 
+  bool maySend(Time now, RequestId id) const {
+    const PendingRequest* pending = requests_.find(id);
+    return pending && pending->hasAttemptInFlight && RetryPolicy::maySend(*pending, now);
+  }
+
   void onClientDisconnect(RequestId id) { requests_.erase(id); }
 
   void onResponseStarted(RequestId id) {
@@ -362,6 +367,7 @@
   core_->onRequestComplete(now, id, expiresAt);
 }
 void Gateway::onDeadlineChange(RequestId id, Time expiresAt) { core_->onDeadlineChange(id, expiresAt); }
+bool Gateway::maySend(Time now, RequestId id) const { return core_->maySend(now, id); }
 void Gateway::onClientDisconnect(Time, RequestId id) { core_->onClientDisconnect(id); }
 void Gateway::onResponseStarted(Time, RequestId id) { core_->onResponseStarted(id); }
 void Gateway::onOverload(Time, const OverloadSignal& signal) { core_->onOverload(signal); }
--- a/src/decision/request_table.hpp
+++ b/src/decision/request_table.hpp
@@ -28,6 +28,10 @@
     const auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : &found->second;
   }
+  const PendingRequest* find(RequestId id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : &found->second;
+  }
   PendingRequest& add(PendingRequest&& pending) {
     const RequestId id = pending.request.id;
     return requests_.emplace(id, std::move(pending)).first->second;
--- a/src/decision/retry_policy.cpp
+++ b/src/decision/retry_policy.cpp
@@ -61,4 +61,8 @@
   return hasRemainingValue(pending, now);
 }
 
+bool RetryPolicy::maySend(const PendingRequest& pending, Time now) {
+  return pending.attempts <= attemptsAllowed(pending) && isRepeatAllowed(pending, now);
+}
+
 }  // namespace wingslip::decision
--- a/src/decision/retry_policy.hpp
+++ b/src/decision/retry_policy.hpp
@@ -40,6 +40,8 @@
   Time attemptTimeoutMs(const PendingRequest& pending, Time now) const;
   /// Whether another attempt may start now.
   [[nodiscard]] bool mayRetry(const PendingRequest& pending, Time now) const;
+  /// Whether the attempt that has been started may still be sent now.
+  [[nodiscard]] static bool maySend(const PendingRequest& pending, Time now);
 
  private:
   static constexpr double kMaxBudget = 5;  ///< upper bound of the budget, as a number of timeouts
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -307,6 +307,7 @@
   if (remainingMs(found->second) <= 0) return SendRefusal::deadlinePassed;
   if (!readyWorkers_.contains(worker)) return SendRefusal::workerNotReady;
   if (excluded_.contains(worker)) return SendRefusal::workerExcluded;
+  if (!gateway_.maySend(clock_.now(), id)) return SendRefusal::repeatNotAllowed;
   return SendRefusal::none;
 }
 
@@ -394,6 +395,7 @@
 AttemptRequest Gatekeeper::attemptRequest(RequestId id, const RequestInFlight& request, WorkerId worker) {
   AttemptRequest out;
   out.serialize = [this, id, worker] { return authorizeSend(id, worker); };
+  out.mayComplete = [this, id] { return gateway_.maySend(clock_.now(), id); };
   out.maxSerializedBytes = maxAttemptBytes(request.message);
   if (!request.body.streamed) return out;
   out.chunkedBody = !request.body.contentLength;
--- a/src/gatekeeper/send_guard.hpp
+++ b/src/gatekeeper/send_guard.hpp
@@ -19,12 +19,13 @@
   deadlinePassed,      ///< the deadline has passed
   workerNotReady,      ///< the endpoint list no longer names the worker as ready
   workerExcluded,      ///< an operator has excluded the worker
+  repeatNotAllowed,    ///< its class, its idempotency window or the settings no longer permit this attempt
 };
-constexpr std::size_t kSendRefusalCount = static_cast<std::size_t>(SendRefusal::workerExcluded) + 1;
+constexpr std::size_t kSendRefusalCount = static_cast<std::size_t>(SendRefusal::repeatNotAllowed) + 1;
 
 /// Names in the metrics, in the order of SendRefusal. `none` is not reported.
 inline constexpr std::array<std::string_view, kSendRefusalCount> kSendRefusalNames{
-    "none", "request_over", "client_gone", "time_over", "worker_left", "worker_excluded"};
+    "none", "request_over", "client_gone", "time_over", "worker_left", "worker_excluded", "repeat_over"};
 static_assert(!kSendRefusalNames.back().empty(), "every SendRefusal has a name");
 
 /// Number of attempts checked before sending, by result.
--- a/src/gatekeeper/upstream_attempt.hpp
+++ b/src/gatekeeper/upstream_attempt.hpp
@@ -34,6 +34,9 @@
   /// every request to a worker passes through this call. `nullopt` if the request must no longer be sent; the
   /// attempt then ends as connectFailed.
   std::function<std::optional<std::string>()> serialize;
+  /// Whether a request that is partly written may still be completed. Called before each further write, since
+  /// the worker may have taken nothing for a while; if it returns false, the attempt ends as connectFailed.
+  std::function<bool()> mayComplete;
   /// Upper bound in bytes of the size that `serialize` returns, for the memory budget.
   std::size_t maxSerializedBytes = 0;
   /// Reads the next piece of a streamed body. Null if `serialize` returns the complete request.
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -92,6 +92,7 @@
 void UpstreamConnection::close() {
   markEnded();
   readBody_ = nullptr;
+  mayComplete_ = nullptr;
   serialize_ = nullptr;
   waitRecord_.leave();
   pausedRead_.clear();
@@ -145,6 +146,7 @@
   startedAt_ = Clock::now();
   timeout_ = timeout;
   serialize_ = std::move(request.serialize);
+  mayComplete_ = std::move(request.mayComplete);
   readBody_ = std::move(request.readBody);
   chunkedBody_ = request.chunkedBody;
   expiresAt_ = timeout && !expectsBodyPieces() ? startedAt_ + *timeout : Clock::time_point::max();
@@ -219,7 +221,10 @@
   if (error == asio::error::would_block)
     return socket_.async_wait(tcp::socket::wait_write,
                               guard([this, id = outcome_.id](const Error&, std::size_t) {
-                                if (busy_ && outcome_.id == id) writeRemaining();
+                                if (!busy_ || outcome_.id != id) return;
+                                if (mayComplete_ && !mayComplete_())
+                                  return endAttempt(AttemptResult::connectFailed);
+                                writeRemaining();
                               }));
   if (!error && !expectsBodyPieces()) {
     requestWritten_ = true;
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -153,7 +153,8 @@
   UpstreamResponse response_;
   std::string output_;
   std::size_t outputSent_ = 0;
-  std::function<std::optional<std::string>()> serialize_;           // null once it has been called
+  std::function<std::optional<std::string>()> serialize_;  // null once it has been called
+  std::function<bool()> mayComplete_;
   std::function<void(AttemptRequest::BodyPieceHandler)> readBody_;  // null once the last piece has arrived
   std::optional<Clock::duration> timeout_;
   decision::AttemptOutcome outcome_;
