--- a/tests/program_under_faults.hpp
+++ b/tests/program_under_faults.hpp
@@ -52,6 +52,7 @@
     execl(WINGSLIP_GATEKEEPER_PROGRAM, WINGSLIP_GATEKEEPER_PROGRAM, static_cast<char*>(nullptr));
     _exit(127);
   }
+  pid_t processId() const { return pid_; }
   void sendSignal(int signalNumber) const { kill(pid_, signalNumber); }
   void killProcess() {
     if (pid_ > 0) kill(pid_, SIGKILL), waitpid(pid_, nullptr, 0);
