Do not keep requests that ended before the gatekeeper serves

Memory grew with the number of requests until serving began (1.4 s, or 20 s while the exclusions cannot be read): 3 MB after 60,000 requests of one client.

Cause: requests that come before serving waited in a list that only the start of serving emptied; one that had ended by its deadline or with its client stayed in it. Change: a map by id, from which the end of a request takes it. Evidence: ClientPressure.RequestsThatEndBeforeServingBeginsAreNotKept failed before (9.1 MB against 5.9 MB) and passes now.

--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -162,8 +162,8 @@
 void Gatekeeper::startServing() {
   if (!firstListWaitOver_ || std::exchange(serving_, true)) return;
   startTimer_.cancel();
-  for (const decision::Request& request : std::exchange(earlyRequests_, {}))
-    if (requests_.contains(request.id)) gateway_.onRequest(clock_.now(), request);
+  for (const auto& [id, request] : std::exchange(earlyRequests_, {}))
+    gateway_.onRequest(clock_.now(), request);
 }
 
 // --- Overload --------------------------------------------------------------------------------------------
@@ -192,12 +192,13 @@
   return true;
 }
 
-std::vector<decision::Request> Gatekeeper::remappedEarlyRequests(const settings::HostSettings& host) const {
+std::map<RequestId, decision::Request> Gatekeeper::remappedEarlyRequests(
+    const settings::HostSettings& host) const {
   const NameIndex classes(host.classes);
   const NameIndex plans(host.plans);
-  std::vector<decision::Request> remapped;
-  for (decision::Request request : earlyRequests_)
-    if (remap(request, classes, plans)) remapped.push_back(request);
+  std::map<RequestId, decision::Request> remapped;
+  for (auto [id, request] : earlyRequests_)
+    if (remap(request, classes, plans)) remapped.emplace(id, request);
   return remapped;
 }
 
@@ -214,7 +215,7 @@
   settings::HostSettings host = mergedHostSettings(config);
   if (settings.zone < config.host.zones.size())
     settings.zone = NameIndex(host.zones).indexOf(config.host.zones[settings.zone]);
-  std::vector<decision::Request> earlyRequests = remappedEarlyRequests(config.host);
+  std::map<RequestId, decision::Request> earlyRequests = remappedEarlyRequests(config.host);
   gateway_.onSettings(clock_.now(), settings);
   earlyRequests_ = std::move(earlyRequests);
   config_.settings = std::move(settings);
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -108,7 +109,8 @@
 
   // Reload (gatekeeper.cpp)
   settings::HostSettings mergedHostSettings(const Config& config) const;
-  std::vector<decision::Request> remappedEarlyRequests(const settings::HostSettings& host) const;
+  std::map<decision::RequestId, decision::Request> remappedEarlyRequests(
+      const settings::HostSettings& host) const;
   bool remap(decision::Request& request, const NameIndex& classes, const NameIndex& plans) const;
   void reloadFleetServices(const Config& config);
 
@@ -176,8 +178,8 @@
   ExclusionControl exclusions_;
   std::optional<OpsServer> ops_;
   FleetServices fleet_;
-  std::vector<decision::Request> earlyRequests_;  // received before serving; some may have ended
-  boost::asio::steady_timer startTimer_;          // limits the wait for the first list, then the exclusions
+  std::map<decision::RequestId, decision::Request> earlyRequests_;  // in flight, received before serving
+  boost::asio::steady_timer startTimer_;  // limits the wait for the first list, then the exclusions
   boost::asio::steady_timer drainTimer_;
   boost::asio::steady_timer acceptTimer_;
   ReportTimer reportTimer_;
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -69,7 +69,7 @@
                                           parsed.customerGatewayCount,
                                           static_cast<double>(parsed.memoryBytes)};
   if (serving_) return gateway_.onRequest(now, decisionRequest);
-  earlyRequests_.push_back(decisionRequest);
+  earlyRequests_.emplace(id, decisionRequest);
 }
 
 ClassCounts& Gatekeeper::countsOf(unsigned classIndex) {
@@ -159,6 +159,7 @@
   ++(rejected ? found->second.classCounts->rejected : found->second.classCounts->failure);
   monitor_.clientClosed(found->second.trace, clock_.now());
   requests_.erase(found);
+  earlyRequests_.erase(id);
   gateway_.onClientDisconnect(clock_.now(), id);
   if (auto attempt = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*attempt));
 }
@@ -383,6 +384,7 @@
   monitor_.requestAnswered(found->second.trace, finalState, clock_.now());
   auto responder = std::move(found->second.responder);
   requests_.erase(found);
+  earlyRequests_.erase(id);
   return responder;
 }
 
