Charge a request for the memory that it holds, not for the bytes that were read

A crowd with headers of some 3,000 short fields took 93 MB at a limit of 32 MiB (52 MB in the test), workers' responses with such headers 51 MB; one client that sent blank lines, or tiny chunks with extensions, shut out all others (0 and 3 of 30 served, 503).

Cause, both ways the same: what was charged was the number of bytes read. A parsed field takes some 80 bytes more than its text, twice where a body is streamed, since the header was copied; and bytes that are consumed and hold nothing (blank lines, chunk lines) stayed charged until a request ended, so one connection took the account of all.

Change: a header is charged for its fields before it is parsed (503 where there is no room), a body for what is held of it. A streamed request's header is moved, not copied; trailers are dropped. Of a worker's response only the fields that are read are kept.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -106,6 +106,7 @@
   state_ = State::lingering;
   waitRecord_.leave();
   requestBytes_ = 0;
+  headerBytes_ = 0;
   Error ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   discardedBytes_ = 0;
@@ -221,6 +222,7 @@
 }
 
 void ClientServer::Connection::releaseRequestMemory() {
+  headerBytes_ = 0;
   requestBytes_ = 0;
   forwardedBytes_ = 0;
   memory_.shrinkTo(memoryBytes(reading_ ? kStreamReadBytes : 0));
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -146,6 +146,7 @@
   void onReadable(const Error& waitError);
   std::size_t readSize() const;
   bool reserveReadMemory();
+  bool reserveHeaderMemory();
   bool canBufferInput() const;
   void checkDisconnect();
   bool checkBodyRate(std::size_t bytes);
@@ -156,7 +157,6 @@
   void startBody();
   void deliverBody();
   void skipBlankLines();
-  bool expectsContinue() const;
   void sendContinue();
   std::chrono::milliseconds measureUnreadWait();
   void onStreamedRequest();
@@ -177,7 +177,9 @@
   MemoryBudget::Charge responseMemory_;  // for the response being written
   WaitQueues::QueueEntry waitRecord_;    // the current wait in the metrics of the wait queues
   OverloadManager::PausedRead pausedRead_;
-  std::size_t requestBytes_ = 0;    // bytes of the request that are read and not yet released
+  std::size_t headerBytes_ = 0;     // memory of the request's parsed header
+  std::size_t headerFields_ = 0;    // number of its fields
+  std::size_t requestBytes_ = 0;    // memory of the request: its parsed header, and what is held of its body
   std::size_t forwardedBytes_ = 0;  // part of `requestBytes_` with the handler, not yet written to a worker
   bool overflow_;                   // beyond the limit of regular connections
   const Clock::time_point openedAt_ = Clock::now();
@@ -194,6 +196,7 @@
   std::size_t discardedBytes_ = 0;    // input discarded during the lingering close, bytes
   bool awaitingFirstRequest_ = true;  // no complete request has been received yet
   bool requestStarted_ = false;       // the first byte of a request has been parsed
+  bool expectsContinue_ = false;      // the client sends the body only after a 100 Continue
   bool continueHandled_ = false;      // 100 Continue has been sent, or is not expected
   bool closeAfterResponse_ = false;
   bool reading_ = false;  // a read is pending
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -84,7 +84,6 @@
   if (error == asio::error::would_block) return read();
   if (error) return close(closeReasonOf(error));
   input_.commit(bytes);
-  if (state_ == State::reading || !bodyDone_) requestBytes_ += bytes;
   if (state_ == State::lingering && !discardInput()) return;
   if (inBody_ && !bodyDone_ && !checkBodyRate(bytes)) return;
   processInput();
@@ -100,6 +99,13 @@
   return memory_.resize(memoryBytes(readSize()));
 }
 
+// Reserves the memory of the header that is about to be parsed.
+bool ClientServer::Connection::reserveHeaderMemory() {
+  headerBytes_ = parsedHeaderBytes(input_);
+  requestBytes_ = headerBytes_;
+  return memory_.resize(memoryBytes(0));
+}
+
 // While a request is being read, its parser needs more bytes and its limits bound the buffer. Only the
 // requests behind the one in flight and the window of a streamed body can fill it.
 bool ClientServer::Connection::canBufferInput() const {
@@ -141,6 +147,7 @@
     server_.overloadManager_.onDescriptorUsageChanged();
     if (!awaitingFirstRequest_) armTimer(server_.limits_.headerTimeout);
   }
+  if (!parser_->is_header_done() && !reserveHeaderMemory()) return rejectForCapacity(WaitQueue::pausedRead);
   Error error;
   const bool complete = parseBuffered(*parser_, input_, error);
   server_.stats_.maxBufferedBytes = std::max(server_.stats_.maxBufferedBytes, input_.size());
@@ -149,10 +156,13 @@
     closeAfterResponse_ = true;
     return reject({statusOf(error), "malformed request"});
   }
+  requestBytes_ = headerBytes_ + parser_->get().body().capacity();
   if (complete) {
     timer_.cancel();
     requestVersion_ = parser_->get().version();
-    return onBufferedRequest(parser_->release());
+    ClientMessage message = parser_->release();
+    if (inBody_) removeTrailer(message, headerFields_);
+    return onBufferedRequest(std::move(message));
   }
   if (!parser_->is_header_done()) return;
   if (!inBody_) startBody();
@@ -165,6 +175,10 @@
 void ClientServer::Connection::startBody() {
   inBody_ = true;
   bodyDone_ = false;
+  const auto& header = parser_->get().base();
+  headerFields_ = static_cast<std::size_t>(std::distance(header.begin(), header.end()));
+  expectsContinue_ =
+      beast::iequals(header[http::field::expect], "100-continue") && parser_->get().version() >= 11;
   bodyRate_.reset();
   bodyLag_.start(Clock::now(), measureUnreadWait());
 }
@@ -177,15 +191,10 @@
   input_.consume(blank);
 }
 
-bool ClientServer::Connection::expectsContinue() const {
-  return beast::iequals(parser_->get()[http::field::expect], "100-continue") &&
-         parser_->get().version() >= 11;
-}
-
 void ClientServer::Connection::sendContinue() {
   if (bodyDone_ || continueHandled_) return;
   continueHandled_ = true;
-  if (!expectsContinue()) return;
+  if (!expectsContinue_) return;
   output_.addContinue();
   write();
 }
@@ -236,18 +245,23 @@
 void ClientServer::Connection::onStreamedRequest() {
   timer_.cancel();
   awaitingFirstRequest_ = false;
-  ClientMessage message(parser_->get().base());
-  message.body() = std::exchange(parser_->get().body(), {});
   closeAfterResponse_ = !parser_->keep_alive();
+  ClientMessage message(std::move(parser_->get().base()));
+  message.body() = std::exchange(parser_->get().body(), {});
   requestVersion_ = message.version();
   auto parsed = parseClientRequest(message, server_.config_);
   if (const auto* rejection = std::get_if<ImmediateResponse>(&parsed)) return reject(*rejection);
-  if (overflow_ && !server_.hasCapacity()) return rejectForCapacity(WaitQueue::freeConnection);
   ParsedRequest& request = std::get<ParsedRequest>(parsed);
+  if (overflow_ && !server_.hasCapacity()) {
+    server_.handler_.onRequestRejected(request.classIndex);
+    countRejection(WaitQueue::freeConnection);
+    return rejectRest(kNoCapacity, server_.rejectionRetryAfterMs());
+  }
   request.bodyComplete = false;
   request.memoryBytes =
       memoryBytes(2 * kStreamReadBytes) + requestBytes_;  // one piece here and one being sent to the worker
-  forwardedBytes_ = requestBytes_;
+  requestBytes_ = headerBytes_ + message.body().capacity();
+  forwardedBytes_ = message.body().capacity();
   if (const auto length = parser_->content_length()) request.contentLength = *length;
   admit(request, std::move(message));
 }
@@ -269,9 +283,12 @@
 }
 
 void ClientServer::Connection::parseBody() {
+  const std::size_t heldBytes = parser_->get().body().size();
   Error error;
   bodyDone_ = parseBuffered(*parser_, input_, error);
+  requestBytes_ += parser_->get().body().size() - heldBytes;
   if (error) return onMalformedBody(statusOf(error));
+  if (bodyDone_) parser_->get().base().clear();  // the trailer: the header is with the handler
   if (bodyDone_ && state_ != State::discardingBody) timer_.cancel();
   if (state_ == State::inFlight) return deliverBody();
   parser_->get().body().clear();
--- a/src/gatekeeper/client_connection_writing.cpp
+++ b/src/gatekeeper/client_connection_writing.cpp
@@ -134,7 +134,7 @@
   onPieceWritten_ = nullptr;
   responseMemory_.release();
   // Without a 100 Continue, the client does not send the body.
-  if (!bodyDone_ && !continueHandled_ && expectsContinue()) {
+  if (!bodyDone_ && !continueHandled_ && expectsContinue_) {
     bodyDone_ = true;
     closeAfterResponse_ = true;
   }
--- a/src/gatekeeper/upstream_response.cpp
+++ b/src/gatekeeper/upstream_response.cpp
@@ -2,6 +2,7 @@
 #include "gatekeeper/upstream_response.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <string_view>
@@ -12,6 +13,12 @@
 
 using decision::AttemptResult;
 
+// The header fields of a response that are read after it is parsed.
+constexpr std::array<const char*, 8> kUsedFields{"Connection",       "Transfer-Encoding", "Content-Length",
+                                                 "Content-Type",     "Srv-Declined",      "Srv-Load",
+                                                 "X-RateLimit-Used", "X-Cost-Units"};
+constexpr std::size_t kMaxKeptFields = 32;  // a field may be repeated
+
 // Whether all of `text` is a number. As with std::from_chars, a numeric prefix sets `value` even if this
 // returns false.
 template <class T>
@@ -53,6 +60,7 @@
   parser_->body_limit(kMaxBodyBytes);
   parser_->header_limit(kMaxHeaderBytes);
   takenBodyBytes_ = 0;
+  headerParsed_ = false;
 }
 
 UpstreamResponse::State UpstreamResponse::parse(RequestProgress request) {
@@ -63,6 +71,7 @@
     complete = parseBuffered(*parser_, input_, error);
   }
   if (error || isPremature(request)) return State::malformed;
+  if (!headerParsed_ && parser_->is_header_done()) removeUnusedFields();
   return complete ? State::complete : State::incomplete;
 }
 
@@ -77,6 +86,24 @@
   return response.result_int() < 200 && response.result() != http::status::switching_protocols;
 }
 
+// A parsed field takes many times its text, and the fields stay for as long as the response.
+void UpstreamResponse::removeUnusedFields() {
+  headerParsed_ = true;
+  auto& fields = parser_->get().base();
+  std::size_t kept = 0;
+  for (auto field = fields.begin(); field != fields.end();) {
+    const bool isUsed = std::any_of(kUsedFields.begin(), kUsedFields.end(), [&](const char* name) {
+      return beast::iequals(field->name_string(), name);
+    });
+    if (isUsed && kept < kMaxKeptFields) {
+      ++kept;
+      ++field;
+    } else {
+      field = fields.erase(field);
+    }
+  }
+}
+
 bool UpstreamResponse::finishAtClose() {
   if (!parser_->is_header_done() || !parser_->need_eof()) return false;
   Error error;
--- a/src/gatekeeper/upstream_response.hpp
+++ b/src/gatekeeper/upstream_response.hpp
@@ -77,16 +77,21 @@
   std::size_t bufferedBytes() const { return input_.size(); }
   /// Memory in bytes that the response uses if the next read delivers `nextReadBytes` bytes.
   std::size_t memoryBytes(std::size_t nextReadBytes) const;
-  /// Frees the unused capacity of the read buffer.
-  void releaseSpareMemory() { input_.shrink_to_fit(); }
+  /// Frees the unused capacity of the read buffer, and the previous response.
+  void releaseSpareMemory() {
+    input_.shrink_to_fit();
+    reset();
+  }
 
  private:
   bool isInterim() const;
+  void removeUnusedFields();
   bool isPremature(RequestProgress request) const;
 
   beast::flat_buffer input_;
   std::optional<http::response_parser<WindowBody>> parser_;
   std::size_t takenBodyBytes_ = 0;
+  bool headerParsed_ = false;  // the final header is parsed, and its unused fields are removed
 };
 
 }  // namespace wingslip
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -2,12 +2,14 @@
 /// discovery. Uses no sockets.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -79,6 +81,27 @@
   return parser.is_done();
 }
 
+/// Memory in bytes that a parsed header field takes in addition to its text: the node that Beast allocates.
+constexpr std::size_t kParsedFieldBytes = 96;
+
+/// Memory in bytes that the header at the start of `in` will take once it is parsed; 0 if it is incomplete.
+/// Beast parses a header only as a whole, and a field of a few bytes takes many times its size.
+inline std::size_t parsedHeaderBytes(const beast::flat_buffer& in) {
+  const std::string_view text(static_cast<const char*>(in.data().data()), in.size());
+  const std::size_t end = text.find("\r\n\r\n");
+  if (end == std::string_view::npos) return 0;
+  const auto lines = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+  return end + static_cast<std::size_t>(lines) * kParsedFieldBytes;
+}
+
+/// Removes the fields after the first `headerFields`: those of a trailer, which nothing reads.
+template <class Fields>
+void removeTrailer(Fields& fields, std::size_t headerFields) {
+  auto field = fields.begin();
+  for (std::size_t i = 0; i < headerFields && field != fields.end(); ++i) ++field;
+  while (field != fields.end()) field = fields.erase(field);
+}
+
 namespace detail {
 
 /// Appends the buffers that the serializer returns next.
--- a/tests/client_pressure_test.cpp
+++ b/tests/client_pressure_test.cpp
@@ -65,7 +65,7 @@
     int served = 0;
     for (int i = 0; i < requests; ++i) {
       TestRequest request;
-      request.id = requestId(0xa000 + static_cast<unsigned>(i));
+      request.id = requestId(nextId_++);
       const auto client = sendRequest(request);
       std::size_t answered = 0;
       const auto until = Steady::now() + limit;
@@ -81,6 +81,9 @@
     }
     return served;
   }
+
+ private:
+  unsigned nextId_ = 0xa000;  // never used twice: a request is looked for in all that workers have received
 };
 
 // Guards against headers of very many short fields, which take several times their bytes once they are
