--- a/tests/program_under_faults.hpp
+++ b/tests/program_under_faults.hpp
@@ -25,11 +25,20 @@
 /// A process of the gatekeeper program with fault injection. The destructor kills it if it is still running.
 class GatekeeperProcess {
  public:
+  /// What the processes of an upgrade have in common.
+  struct Upgrade {
+    int listeningSocket;
+    std::string stateFolder;
+  };
+
   /// `folder` contains its configuration, its fault control file and its $TMPDIR. `initialFaults`: the faults
   /// that apply at start.
-  GatekeeperProcess(const std::string& folder, const json& config, const SystemFaults& initialFaults)
-      : folder_(folder) {
-    std::filesystem::create_directories(folder + "/state");
+  /// `upgrade`: the listening socket and the folder of the state that the process shares with others.
+  GatekeeperProcess(const std::string& folder, const json& config, const SystemFaults& initialFaults,
+                    const std::optional<Upgrade>& upgrade = std::nullopt)
+      : folder_(folder), upgrade_(upgrade) {
+    std::filesystem::create_directories(folder);
+    std::filesystem::create_directories(stateFolder());
     faults.emplace(folder + "/faults", initialFaults);
     std::ofstream(folder + "/config.json") << config.dump();
     start();
@@ -48,7 +57,11 @@
     const char* options = getenv("ASAN_OPTIONS");
     setenv("ASAN_OPTIONS", (std::string(options ? options : "") + ":verify_asan_link_order=0").c_str(), 1);
     setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
-    setenv("TMPDIR", (folder_ + "/state").c_str(), 1);
+    setenv("TMPDIR", stateFolder().c_str(), 1);
+    if (upgrade_) {
+      dup2(upgrade_->listeningSocket, kInheritedDescriptor);
+      setenv("BALANCER_ACCEPT_FD", std::to_string(kInheritedDescriptor).c_str(), 1);
+    }
     execl(WINGSLIP_GATEKEEPER_PROGRAM, WINGSLIP_GATEKEEPER_PROGRAM, static_cast<char*>(nullptr));
     _exit(127);
   }
@@ -68,7 +81,11 @@
   int waitStatus = 0;  ///< as reported by waitpid
 
  private:
+  static constexpr int kInheritedDescriptor = 7;
+  std::string stateFolder() const { return upgrade_ ? upgrade_->stateFolder : folder_ + "/state"; }
+
   const std::string folder_;
+  const std::optional<Upgrade> upgrade_;
   pid_t pid_ = 0;
 };
 
