Recognise an id that comes again after it was sent, also across an upgrade

Workers got a request twice: an unsafe id that came again after its client had left, or while the first attempt was out, or at the other process of an upgrade, and a keyed one after its window.

Cause: what may have run was known per request in flight; it was forgotten with the request's client, and the processes of an upgrade did not share it.

The decision module gets the earlier attempt with the request and applies the class's terms to it: window, scope, never for unsafe; never while the earlier request is in flight. Its final answer is a failure where a refusal would promise too much. An attempt that surely never ran is forgotten. The meaning of an attempt's result (provesNotRun) stands once.

IncompleteMessages sent 24 requests of different peers under one id at once, which the protocol excludes; each has its own now, with the same expectations.

--- a/include/wingslip/decision/gateway.hpp
+++ b/include/wingslip/decision/gateway.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,16 +27,24 @@
   Time startedAt = 0;        ///< start of the worker process; 0: unknown, treated as long ago
 };
 
+/// An attempt of a request that has come before under the same id, as far as a worker may have run it.
+struct EarlierAttempt {
+  Time sentAt = 0;  ///< when the first of these attempts was sent
+  WorkerId worker = 0;
+  bool isInFlight = false;  ///< the earlier request has no final answer yet
+};
+
 /// A client's request.
 struct Request {
   RequestId id = 0;
   unsigned classIndex = 0;  ///< index in Settings::classes
   unsigned planIndex = 0;   ///< index in Settings::plans
   CustomerId customer = 0;
-  Time expiresAt = 0;                 ///< the client's deadline
-  double units = 1;                   ///< quota units; an estimate if Settings::correctsUnits
-  unsigned customerGatewayCount = 1;  ///< number of gateways that receive this customer's requests
-  double memoryBytes = 0;             ///< memory that the host uses for the request
+  Time expiresAt = 0;                     ///< the client's deadline
+  double units = 1;                       ///< quota units; an estimate if Settings::correctsUnits
+  unsigned customerGatewayCount = 1;      ///< number of gateways that receive this customer's requests
+  double memoryBytes = 0;                 ///< memory that the host uses for the request
+  std::optional<EarlierAttempt> earlier{};  ///< set if the id has come before and may have run
 };
 
 /// Overload of the host: it is short of memory, file descriptors or processing time.
--- a/include/wingslip/decision/types.hpp
+++ b/include/wingslip/decision/types.hpp
@@ -40,6 +40,12 @@
   notSent,        ///< the host did not send the attempt; the request is not retried
 };
 
+/// Whether the outcome proves that the worker did not run the request.
+inline bool provesNotRun(AttemptResult result) {
+  return result == AttemptResult::overloaded || result == AttemptResult::connectFailed ||
+         result == AttemptResult::notSent;
+}
+
 /// Kind of an endpoint update.
 enum class EndpointUpdate {
   failed,    ///< the request for the list failed; there is no list
--- a/src/decision/gateway.cpp
+++ b/src/decision/gateway.cpp
@@ -73,13 +73,14 @@
   void onRequest(Time now, const Request& request) {
     if (requests_.find(request.id)) return;
     if (!isWellFormed(request)) return actions_.reject(request.id, kRetryAfterMs);
+    PendingRequest pending = makePendingRequest(now, request);
+    if (!mayRepeatEarlier(pending, now)) return rejectOrFail(pending);
     Customer& customer = customers_.findOrAdd(now, request);
     logSummary(now);
-    if (const auto rejection = checkAdmission(customer, request)) return reject(request.id, *rejection);
-    PendingRequest pending = makePendingRequest(now, request);
+    if (const auto rejection = checkAdmission(customer, request)) return rejectNew(pending, *rejection);
     UpstreamWorker* worker = chooseWorker(now, pending);
     admission_.recordWorkerChoice(now, worker != nullptr);
-    if (!worker) return reject(request.id, {RejectionReason::noWorker, kRetryAfterMs});
+    if (!worker) return rejectNew(pending, {RejectionReason::noWorker, kRetryAfterMs});
     CustomerQuota::debit(customer, request.units);
     startAttempt(now, requests_.add(std::move(pending)), *worker);
   }
@@ -202,16 +203,28 @@
     return std::nullopt;
   }
 
-  PendingRequest makePendingRequest(Time now, const Request& request) const {
+  PendingRequest makePendingRequest(Time now, const Request& request) {
     PendingRequest pending;
     pending.request = request;
     pending.requestClass = classes_[request.classIndex];
     pending.plan = settings_.plans[request.planIndex];
     pending.maxAttempts = settings_.maxAttempts;
     pending.arrivedAt = now;
+    if (!request.earlier) return pending;
+    pending.lastAttemptAt = request.earlier->sentAt;
+    recordPossibleRun(pending, workers_.find(request.earlier->worker));
     return pending;
   }
 
+  // Whether a request whose id has come before may be sent. A worker that is not listed any more does not
+  // tell which others recognise the idempotency key.
+  bool mayRepeatEarlier(const PendingRequest& pending, Time now) {
+    const auto& earlier = pending.request.earlier;
+    if (!earlier) return true;
+    if (earlier->isInFlight || !RetryPolicy::maySend(pending, now)) return false;
+    return workers_.find(earlier->worker) || isSafeToReject(pending);
+  }
+
   // A request that may have run is exempt from the gateway's concurrency limit, because without a retry its
   // final answer might be a failure.
   UpstreamWorker* chooseWorker(Time now, const PendingRequest& pending) {
@@ -278,6 +291,11 @@
       actions_.fail(id);
   }
 
+  void rejectNew(const PendingRequest& pending, const Rejection& rejection) {
+    if (!isSafeToReject(pending)) return actions_.fail(pending.request.id);
+    reject(pending.request.id, rejection);
+  }
+
   void reject(RequestId id, const Rejection& rejection) {
     countRejection(rejections_, rejection.reason);
     sendRejection(id, rejection.retryAfterMs);
--- a/src/decision/retry_policy.hpp
+++ b/src/decision/retry_policy.hpp
@@ -5,12 +5,6 @@
 
 namespace wingslip::decision {
 
-/// Whether the outcome proves that the worker did not run the request.
-inline bool provesNotRun(AttemptResult result) {
-  return result == AttemptResult::overloaded || result == AttemptResult::connectFailed ||
-         result == AttemptResult::notSent;
-}
-
 /// Whether a request that RetryPolicy::mayRetry permits can be sent to this worker without the risk that it
 /// runs twice: it has not run, it is idempotent, or the worker recognises its idempotency key.
 inline bool isInDeduplicationScope(const PendingRequest& pending, const Endpoint& endpoint) {
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -57,6 +57,7 @@
       gateway_(config.settings, config.seed, clock_.now(), *this),
       monitor_([](const std::string& line) { processLog().error("event=invariant text=\"{}\"", line); },
                [this] { return gateway_.warmWorkerRate(clock_.now()); }),
+      sentRequests_(config.inheritedListenFd >= 0 ? config.stateDir : std::string()),
       exclusions_(io, config.stateDir,
                   [this](const ExclusionChange& change) { onExclusionsChanged(change); }),
       fleet_(io, config_, overloadManager_, [this](const replication::Row& row) { onReplicatedRow(row); }),
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -28,6 +28,7 @@
 #include "gatekeeper/ops_server.hpp"
 #include "gatekeeper/request_in_flight.hpp"
 #include "gatekeeper/send_guard.hpp"
+#include "gatekeeper/sent_requests.hpp"
 #include "gatekeeper/service_report.hpp"
 #include "gatekeeper/upstream_pool.hpp"
 #include "invariant/monitor.hpp"
@@ -148,6 +149,9 @@
   SendRefusal refusalOf(decision::RequestId id, decision::WorkerId worker) const;
   void onAttemptDone(AttemptEnd&& end);
   void recordAttemptEnd(const decision::AttemptOutcome& outcome);
+  std::optional<decision::EarlierAttempt> earlierAttemptOf(decision::RequestId id, RequestInFlight& request);
+  void recordSend(RequestInFlight& request, decision::WorkerId worker);
+  void releaseRequest(RequestTable::iterator request);
   void reportNotSent(decision::RequestId id, unsigned attempt, decision::WorkerId worker);
   void cancelAttempt(decision::RequestId id);
   void onResponseStart(decision::RequestId id, const std::string& contentType,
@@ -171,7 +175,9 @@
   decision::Gateway gateway_;
   invariant::Monitor monitor_;
   SendRefusals sendRefusals_;
-  std::unordered_set<decision::WorkerId> excluded_;  // by an operator
+  SentRequests sentRequests_;
+  std::unordered_map<std::uint64_t, decision::RequestId> recordedIds_;  // of requests in flight, by `Req-Id`
+  std::unordered_set<decision::WorkerId> excluded_;                     // by an operator
   std::unique_ptr<DiscoveryClient> discovery_;
   Metrics metrics_;
   ClassCounts overflowClassCounts_;  // of classes without counts of their own; not reported
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -2,6 +2,7 @@
 /// answered exactly once.
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <charconv>
 #include <cmath>
 
 #include "gatekeeper/gatekeeper.hpp"
@@ -26,6 +27,13 @@
 constexpr Time kMaxUploadMs = 30 * 60 * 1000;     // longer than the slowest client takes to send a body
 constexpr Time kRetryAfterBeforeServingMs = 250;  // Retry-After of requests rejected before serving starts
 
+// `Req-Id` as a number; it has 16 hexadecimal digits.
+std::uint64_t requestIdNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number, 16);
+  return number;
+}
+
 invariant::RequestState stateOf(http::status status) {
   if (status == http::status::ok) return invariant::RequestState::answered;
   const bool rejected =
@@ -51,6 +59,8 @@
   // bound, and the deadline timer follows the body's lag (`remainingMs`).
   const Time uploadMs = request.bodyArriving ? kMaxUploadMs : 0;
   const decision::ClassSettings& requestClass = config_.settings.classes[parsed.classIndex];
+  request.recordsSends = requestClass.idempotency != decision::Idempotency::idempotent;
+  request.sentId = requestIdNumber(toStringView(request.message["Req-Id"]));
   request.trace.requestId = std::string(toStringView(request.message["Req-Id"]));
   request.trace.idempotency = requestClass.idempotency;
   request.trace.idempotencyWindowMs = requestClass.idempotencyWindowMs;
@@ -67,11 +77,37 @@
                                           request.responseDueAt,
                                           parsed.units,
                                           parsed.customerGatewayCount,
-                                          static_cast<double>(parsed.memoryBytes)};
+                                          static_cast<double>(parsed.memoryBytes),
+                                          earlierAttemptOf(id, request)};
   if (serving_) return gateway_.onRequest(now, decisionRequest);
   earlyRequests_.emplace(id, decisionRequest);
 }
 
+// The attempt of an earlier request with the same id. While that request is in flight, its attempt may be
+// about to be sent even if none is recorded.
+std::optional<decision::EarlierAttempt> Gatekeeper::earlierAttemptOf(RequestId id, RequestInFlight& request) {
+  if (!request.recordsSends) return std::nullopt;
+  const bool isInFlight = !recordedIds_.try_emplace(request.sentId, id).second;
+  const auto sent = sentRequests_.find(request.sentId);
+  if (!sent && !isInFlight) return std::nullopt;
+  request.sendRecorded = true;
+  request.mayHaveRun = true;
+  return decision::EarlierAttempt{sent ? sent->sentAt : clock_.now(), sent ? sent->worker : 0, isInFlight};
+}
+
+void Gatekeeper::recordSend(RequestInFlight& request, WorkerId worker) {
+  if (!request.recordsSends || std::exchange(request.sendRecorded, true)) return;
+  sentRequests_.add(request.sentId, {clock_.now(), worker});
+}
+
+// Removes a request that has its final response, or needs none.
+void Gatekeeper::releaseRequest(RequestTable::iterator request) {
+  const auto recorded = recordedIds_.find(request->second.sentId);
+  if (recorded != recordedIds_.end() && recorded->second == request->first) recordedIds_.erase(recorded);
+  earlyRequests_.erase(request->first);
+  requests_.erase(request);
+}
+
 ClassCounts& Gatekeeper::countsOf(unsigned classIndex) {
   const auto found = metrics_.classes.find(config_.host.classes[classIndex]);
   return found == metrics_.classes.end() ? overflowClassCounts_ : found->second;
@@ -158,8 +194,7 @@
   finalResponses_.rejected += rejected;
   ++(rejected ? found->second.classCounts->rejected : found->second.classCounts->failure);
   monitor_.clientClosed(found->second.trace, clock_.now());
-  requests_.erase(found);
-  earlyRequests_.erase(id);
+  releaseRequest(found);
   gateway_.onClientDisconnect(clock_.now(), id);
   if (auto attempt = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*attempt));
 }
@@ -203,7 +238,10 @@
 void Gatekeeper::recordAttemptEnd(const AttemptOutcome& outcome) {
   const auto found = requests_.find(outcome.id);
   if (found == requests_.end()) return;
-  found->second.lastAttemptResult = outcome.result;
+  RequestInFlight& request = found->second;
+  request.lastAttemptResult = outcome.result;
+  if (!decision::provesNotRun(outcome.result)) request.mayHaveRun = true;
+  if (!request.mayHaveRun && std::exchange(request.sendRecorded, false)) sentRequests_.remove(request.sentId);
   monitor_.attemptEnded(found->second.trace, outcome.worker, outcome.result, clock_.now());
 }
 
@@ -309,6 +347,9 @@
   if (!readyWorkers_.contains(worker)) return SendRefusal::workerNotReady;
   if (excluded_.contains(worker)) return SendRefusal::workerExcluded;
   if (!gateway_.maySend(clock_.now(), id)) return SendRefusal::repeatNotAllowed;
+  const RequestInFlight& request = found->second;
+  if (request.recordsSends && !request.sendRecorded && sentRequests_.find(request.sentId))
+    return SendRefusal::sentElsewhere;
   return SendRefusal::none;
 }
 
@@ -326,6 +367,7 @@
   if (!request.bodyArriving) remaining = std::min(remaining, request.attemptExpiresAt - now);
   const Time deadlineMs = std::max(1.0, std::floor(remaining));
   updateTraceDeadline(request);
+  recordSend(request, worker);
   monitor_.attemptSending(request.trace, worker, now, deadlineMs);
   return serializeAttempt(request.message, request.body, deadlineMs);
 }
@@ -383,8 +425,7 @@
   updateTraceDeadline(found->second);
   monitor_.requestAnswered(found->second.trace, finalState, clock_.now());
   auto responder = std::move(found->second.responder);
-  requests_.erase(found);
-  earlyRequests_.erase(id);
+  releaseRequest(found);
   return responder;
 }
 
--- a/src/gatekeeper/request_in_flight.hpp
+++ b/src/gatekeeper/request_in_flight.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 
 #include "gatekeeper/attempt_message.hpp"
@@ -27,6 +28,10 @@
   BodyFraming body;                       ///< whether the body is streamed, and its length if known
   bool bodyArriving = false;              ///< the last piece of a streamed body has not been delivered
   bool bodyForwarded = false;             ///< streamed body no longer in `message`: no retry possible
+  std::uint64_t sentId = 0;               ///< `Req-Id` as a number
+  bool recordsSends = false;              ///< its class does not permit free repeats: see `SentRequests`
+  bool sendRecorded = false;              ///< an attempt of this or an earlier request of the id is recorded
+  bool mayHaveRun = false;                ///< a worker may have run one of its attempts
   bool responseStarted = false;           ///< a response is being streamed to the client
   unsigned attemptCount = 0;              ///< attempts started, including those not sent
   decision::AttemptResult lastAttemptResult = decision::AttemptResult::ok;
--- a/src/invariant/monitor.cpp
+++ b/src/invariant/monitor.cpp
@@ -42,12 +42,6 @@
   return RequestState::endedError;
 }
 
-// Returns whether the result proves that the worker has not run the request.
-bool provesNotRun(AttemptResult result) {
-  return result == AttemptResult::overloaded || result == AttemptResult::connectFailed ||
-         result == AttemptResult::notSent;
-}
-
 std::string milliseconds(Time duration) {
   char text[32];
   std::snprintf(text, sizeof text, "%.1f ms", duration);
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -22,9 +22,12 @@
     startGatekeeper(config);
   }
   // A POST with a chunked body, whose chunk lines and trailer are part of `body`.
-  static std::string chunkedRequest(const std::string& body) {
+  std::string chunkedRequest(const std::string& body) {
     TestRequest request;
     request.requestClass = "edit";
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", nextId_++);
+    request.id = id;
     request.extra = "Transfer-Encoding: chunked\r\n";
     std::string text = request.text();
     text.erase(text.find("Content-Length: 0\r\n"), 19);
@@ -43,6 +46,9 @@
       return client->has("HTTP/1.1 ") || client->closedByPeer;
     });
   }
+
+ private:
+  unsigned nextId_ = 0xa100;  // each request has an id of its own
 };
 
 // Guards against peers that stop in the middle of a long chunk line or trailer and keep their connections for
