Failing test: a long response is cut off while its client takes it slowly

The limit is stated as 10 s without a byte taken, but it is a limit on one write, and the kernel's buffer of 2.6 MB is writable again only when a third of it is free.

--- a/tests/staging_test.cpp
+++ b/tests/staging_test.cpp
@@ -141,6 +141,33 @@
   }
 }
 
+// Guards against cutting off a long response whose client takes it slowly but all the time: the kernel's
+// buffer takes longer than the write timeout to become writable again.
+TEST_F(StagingFaults, ALongResponseIsNotCutOffWhileItsClientTakesItSlowly) {
+  GatekeeperProcess program(folder, stagingConfig(), {});
+  waitUntilReady();
+  constexpr std::size_t kBodyBytes = 12'000'000;
+  constexpr std::size_t kReadBytesPerStep = 4000;
+  tcp::socket client(io);
+  client.connect(clientsAddress);
+  client.non_blocking(true);
+  const TestRequest request;
+  asio::write(client, asio::buffer(request.text()));
+  const auto workerPeer = workerOf(worker, request.id);
+  workerPeer->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n");
+  workerPeer->sendBytes(kBodyBytes);
+  runFor(500ms);
+  std::array<char, kReadBytesPerStep> bytes;
+  const auto until = Steady::now() + 13s;
+  while (Steady::now() < until) {
+    Error error;
+    client.read_some(asio::buffer(bytes), error);
+    runFor(100ms);
+  }
+  EXPECT_FALSE(workerPeer->closedByPeer) << "cut off while its client was taking it";
+  EXPECT_NE(runOperatorCommand("telemetry").find("svc.close.write_timeout:0|c"), std::string::npos);
+}
+
 // Guards against sending a keyed request again after its idempotency window, on a connection that was chosen
 // within the window and established after it.
 TEST_F(StagingFaults, AKeyedRequestIsNotRepeatedAfterItsWindowOverALateConnection) {
