Limit the time without a byte taken, not the time of one write

Clients that read a long answer slowly were closed after 10 s although they took bytes all the time (40 kB/s in the test; by the arithmetic, below some 80 kB/s with a kernel buffer of 2.6 MB).

Cause: the time limit ran from the start of a write, and the kernel reports room only when a third of its buffer is free. Change: at its end the limit of a streamed response asks the kernel how much is unacknowledged, and runs on if that has fallen; the same for the body of a request towards its worker. A peer that takes nothing is ended after 10 s as before. Evidence: StagingFaults.ALongResponseIsNotCutOffWhileItsClientTakesItSlowly failed before (closed after 10 s) and passes now.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -160,6 +160,7 @@
     countRejection(WaitQueue::incompleteRequest);
     return rejectBody(RequestEnd::bodyTooSlow, kTooSlow);
   }
+  if (responseStreamed_ && hasClientTakenBytes()) return armTimer(server_.limits_.writeTimeout);
   if (state_ == State::streaming) countRejection(WaitQueue::responseBodyWindow);
   if (state_ == State::responding) countRejection(WaitQueue::responseWrite);
   if (state_ == State::reading) return closeIdle();
@@ -176,6 +177,7 @@
   pausedRead_.clear();  // reading continues
   requestStarted_ = false;
   continueHandled_ = false;
+  responseStreamed_ = false;
   inBody_ = false;
   bodyDone_ = true;
   if (input_.size() == 0 && !reading_) input_.shrink_to_fit();  // a pending read retains the buffer
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -169,6 +169,7 @@
   void rejectForCapacity(WaitQueue queue);
   void rejectBody(RequestEnd end, const ImmediateResponse& rejection, decision::Time retryAfterMs = 0);
   void rejectRest(const ImmediateResponse& rejection, decision::Time retryAfterMs);
+  bool hasClientTakenBytes();
   void write();
   void onWritten();
 
@@ -193,11 +194,13 @@
   State state_ = State::reading;
   Clock::time_point idleSince_;
   decision::RequestId requestId_ = 0;
-  std::size_t discardedBytes_ = 0;    // input discarded during the lingering close, bytes
-  bool awaitingFirstRequest_ = true;  // no complete request has been received yet
-  bool requestStarted_ = false;       // the first byte of a request has been parsed
-  bool expectsContinue_ = false;      // the client sends the body only after a 100 Continue
-  bool continueHandled_ = false;      // 100 Continue has been sent, or is not expected
+  std::size_t unacknowledgedBytes_ = 0;  // of the response, when the write timer was started
+  bool responseStreamed_ = false;        // the response in `output_` is a streamed one
+  std::size_t discardedBytes_ = 0;       // input discarded during the lingering close, bytes
+  bool awaitingFirstRequest_ = true;     // no complete request has been received yet
+  bool requestStarted_ = false;          // the first byte of a request has been parsed
+  bool expectsContinue_ = false;         // the client sends the body only after a 100 Continue
+  bool continueHandled_ = false;         // 100 Continue has been sent, or is not expected
   bool closeAfterResponse_ = false;
   bool reading_ = false;  // a read is pending
   // Whether the TCP state that the kernel reports is used, as on Linux. False if the kernel reported the
--- a/src/gatekeeper/client_connection_writing.cpp
+++ b/src/gatekeeper/client_connection_writing.cpp
@@ -6,6 +6,7 @@
 
 #include "gatekeeper/client_connection.hpp"
 #include "net/socket_io.hpp"
+#include "net/tcp_state.hpp"
 
 namespace wingslip {
 
@@ -30,6 +31,7 @@
   output_.chooseFraming(head, requestVersion_);
   closeAfterResponse_ = closeAfterResponse_ || server_.draining_ || !output_.isDelimited();
   state_ = State::streaming;
+  responseStreamed_ = true;
   recordWait(WaitQueue::responseBodyWindow);
   bodyPieceHandler_ = nullptr;
   releaseRequestMemory();
@@ -120,6 +122,15 @@
         if (error) return close(closeReasonOf(error));
         onWritten();
       });
+  unacknowledgedBytes_ = unacknowledgedBytes(socket_);
+}
+
+// A write may take longer than the timeout although the client reads all the time: the kernel reports room
+// only when a third of its buffer is free.
+bool ClientServer::Connection::hasClientTakenBytes() {
+  if (state_ != State::streaming && state_ != State::responding) return false;
+  const std::size_t before = std::exchange(unacknowledgedBytes_, unacknowledgedBytes(socket_));
+  return unacknowledgedBytes_ < before;
 }
 
 void ClientServer::Connection::onWritten() {
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/socket_io.hpp"
+#include "net/tcp_state.hpp"
 
 namespace wingslip {
 namespace {
@@ -128,6 +129,8 @@
     if (response_.bodyBytes() >= kStreamReadBytes) streamUnfinishedResponse();
     return;
   }
+  if (expectsBodyPieces() && hasWorkerTakenBytes())
+    return armTimer(Clock::now() + context_.limits.streamStallTimeout);
   WaitQueue queue = connected_ ? WaitQueue::awaitingResponse : WaitQueue::connecting;
   if (expectsBodyPieces()) queue = WaitQueue::requestBodyWindow;
   context_.overload.waitQueues().countRejection(queue);
@@ -210,6 +213,12 @@
   armTimer(expectsBodyPieces() ? Clock::now() + context_.limits.streamStallTimeout : expiresAt_);
   outputSent_ = 0;
   writeRemaining();
+  unacknowledgedBytes_ = unacknowledgedBytes(socket_);
+}
+
+bool UpstreamConnection::hasWorkerTakenBytes() {
+  const std::size_t before = std::exchange(unacknowledgedBytes_, unacknowledgedBytes(socket_));
+  return unacknowledgedBytes_ < before;
 }
 
 // Does not use Asio's composed write: the worker may execute the request as soon as the kernel has accepted
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -124,6 +124,7 @@
   void serializeAndWrite();
   void write();
   void writeRemaining();
+  bool hasWorkerTakenBytes();
   void requestBodyPiece();
   void writeBodyPiece(std::string&& piece, bool last);
   std::size_t readSize() const { return streaming_ ? kStreamReadBytes : kReadBytes; }
@@ -153,6 +154,7 @@
   UpstreamResponse response_;
   std::string output_;
   std::size_t outputSent_ = 0;
+  std::size_t unacknowledgedBytes_ = 0;                    // when the timer of the write was started
   std::function<std::optional<std::string>()> serialize_;  // null once it has been called
   std::function<bool()> mayComplete_;
   std::function<void(AttemptRequest::BodyPieceHandler)> readBody_;  // null once the last piece has arrived
--- a/src/net/tcp_state.cpp
+++ b/src/net/tcp_state.cpp
@@ -1,8 +1,10 @@
-// Implementation of the TCP state queries with TCP_INFO and poll.
+// Implementation of the TCP state queries with TCP_INFO, SIOCOUTQ and poll.
 #include "net/tcp_state.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -47,6 +49,12 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+std::size_t unacknowledgedBytes(tcp::socket& socket) {
+  int bytes = 0;
+  const bool known = socket.is_open() && ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 std::size_t acceptBacklogLength(tcp::acceptor& acceptor) {
   tcp_info info{};
   const bool hasInfo = acceptor.is_open() && readTcpState(acceptor.native_handle(), info);
--- a/src/net/tcp_state.hpp
+++ b/src/net/tcp_state.hpp
@@ -15,6 +15,8 @@
 bool hasPeerFinishedSending(boost::asio::ip::tcp::socket& socket);
 /// @return the time since the peer's last bytes arrived, read or unread; 0 if the kernel does not report it.
 std::chrono::milliseconds timeSinceLastData(boost::asio::ip::tcp::socket& socket);
+/// @return the bytes written that the peer's kernel has not acknowledged; 0 if the kernel does not report it.
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
 /// @return the number of connections in the accept backlog; 0 if the kernel does not report it.
 std::size_t acceptBacklogLength(boost::asio::ip::tcp::acceptor& acceptor);
 
