Send nothing for a client whose end may be hidden behind unread bytes

Cause: the end of a stream arrives behind the bytes before it. With more unread than the kernel has room for it is not seen, so the question whether the client has gone said no for as long as its first request lasted. Change: with 16 KiB and more unread for 80 ms an attempt is not begun (not_sent.client_unseen); the request is refused if it has not run, and the next ones until the rest is read. Evidence: DepartedClient.RequestsAreNotSentOnAfterItsCloseBehindUnreadBytes failed before (a retry after the close) and passes now; AClientThatSendsMuchAtOnceAndStaysIsAnswered holds: 400 requests in one write, an answer to each. Its worker counted the requests of all connections as those of one, and so did not answer on a second connection; it counts by connection now.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -17,6 +17,12 @@
 // Once accepting has stopped: age up to which a connection counts as new, and time to complete a header.
 constexpr auto kIncompleteRequestTimeoutAtStop = 500ms;
 
+// With fewer unread bytes the kernel has room for the end of the client's stream: even its smallest receive
+// buffers hold more.
+constexpr std::size_t kMaxUnreadBytes = 16 * 1024;
+// Nothing may be sent for a client 100 ms after it has closed its connection.
+constexpr auto kMaxUnseenTime = 80ms;
+
 }  // namespace
 
 void ClientServer::Connection::start() {
@@ -95,6 +101,17 @@
   return peer == PeerState::closed;
 }
 
+// An end of the stream is seen as soon as the kernel has room for all that was sent before it.
+bool ClientServer::Connection::mayHaveDisconnected() {
+  if (state_ == State::closed) return true;
+  Error error;
+  if (socket_.available(error) < kMaxUnreadBytes) {
+    seenConnectedAt_ = Clock::now();
+    return false;
+  }
+  return Clock::now() - seenConnectedAt_ >= kMaxUnseenTime;
+}
+
 void ClientServer::Connection::closeDisconnected() {
   if (state_ == State::inFlight) close(CloseReason::peerClosed);
 }
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -66,6 +66,7 @@
   void readBody(BodyPieceHandler onPiece) override;
   decision::Time bodyLagMs() override;
   bool hasDisconnected() override;
+  bool mayHaveDisconnected() override;
   void closeDisconnected() override;
 
   /// Whether no byte of a request has been read since the last response.
@@ -193,6 +194,7 @@
   ResponseBuffer output_;
   State state_ = State::reading;
   Clock::time_point idleSince_;
+  Clock::time_point seenConnectedAt_ = openedAt_;  // when an end of the stream would last have been seen
   decision::RequestId requestId_ = 0;
   std::size_t unacknowledgedBytes_ = 0;  // of the response, when the write timer was started
   bool responseStreamed_ = false;        // the response in `output_` is a streamed one
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -84,6 +84,7 @@
   if (error == asio::error::would_block) return read();
   if (error) return close(closeReasonOf(error));
   input_.commit(bytes);
+  mayHaveDisconnected();  // notes that the client is connected
   if (state_ == State::lingering && !discardInput()) return;
   if (inBody_ && !bodyDone_ && !checkBodyRate(bytes)) return;
   processInput();
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -327,7 +327,7 @@
   // closed from a posted handler, since closing it passes an event to the decision module.
   const bool disconnected = request.responder->hasDisconnected();
   if (disconnected) asio::post(io_, [responder = request.responder] { responder->closeDisconnected(); });
-  if (disconnected || remaining <= 0 || request.bodyForwarded)
+  if (disconnected || remaining <= 0 || request.bodyForwarded || request.responder->mayHaveDisconnected())
     return reportNotSent(id, request.attemptCount++, worker);
   const bool beforeDeadline = timeout > 0 && timeout < remaining;
   if (request.attemptCount > 0) metrics_.retries.add(request.lastAttemptResult);
@@ -343,6 +343,7 @@
   const auto found = requests_.find(id);
   if (found == requests_.end()) return SendRefusal::requestOver;
   if (found->second.responder->hasDisconnected()) return SendRefusal::clientDisconnected;
+  if (found->second.responder->mayHaveDisconnected()) return SendRefusal::clientUnseen;
   if (remainingMs(found->second) <= 0) return SendRefusal::deadlinePassed;
   if (!readyWorkers_.contains(worker)) return SendRefusal::workerNotReady;
   if (excluded_.contains(worker)) return SendRefusal::workerExcluded;
--- a/src/gatekeeper/request_handler.hpp
+++ b/src/gatekeeper/request_handler.hpp
@@ -39,6 +39,9 @@
   virtual decision::Time bodyLagMs() = 0;
   /// Whether the client has disconnected, even if bytes sent before that are still unread.
   virtual bool hasDisconnected() = 0;
+  /// Whether the end of the client's stream may have been sent and be out of sight, because so much is unread
+  /// that the kernel has no room for more, and the client has not been seen connected for a while.
+  virtual bool mayHaveDisconnected() = 0;
   /// Closes the connection of a request in flight after `hasDisconnected` has returned true.
   virtual void closeDisconnected() = 0;
 };
--- a/tests/departed_client_test.cpp
+++ b/tests/departed_client_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the gatekeeper program with clients that leave: what they sent is not sent on afterwards, and an
 // id that comes again is not run twice.
+#include <map>
+
 #include "program_under_faults.hpp"
 
 namespace wingslip::test {
@@ -90,12 +92,12 @@
   for (unsigned i = 0; i < kRequests; ++i) text += requestOf("look", 0x20000 + i).text();
   const auto client = connectTo(clientsAddress);
   client->send(text);
-  std::size_t responses = 0;
+  std::map<const Peer*, std::size_t> responses;  // sent on each connection to the worker
   const auto answered = [&] { return client->count("HTTP/1.1 200") + client->count("HTTP/1.1 429"); };
   waitUntil(
       [&] {
         for (const PeerPtr& peer : worker.peers)
-          for (std::size_t received = peer->count("Req-Id: "); responses < received; ++responses)
+          for (std::size_t& sent = responses[peer.get()]; sent < peer->count("Req-Id: "); ++sent)
             peer->send(httpResponse("200 OK", "ok"));
         return answered() == kRequests || client->closedByPeer;
       },
