Ask for a hidden end of the stream only once the request's own body is read

An attempt whose body still arrives is complete only after all of it is read, and the end of the stream is seen then.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -101,11 +101,12 @@
   return peer == PeerState::closed;
 }
 
-// An end of the stream is seen as soon as the kernel has room for all that was sent before it.
+// An end of the stream is seen as soon as the kernel has room for all that was sent before it. While the
+// request's own body arrives, its attempt is complete only after all of it is read.
 bool ClientServer::Connection::mayHaveDisconnected() {
   if (state_ == State::closed) return true;
   Error error;
-  if (socket_.available(error) < kMaxUnreadBytes) {
+  if (!bodyDone_ || socket_.available(error) < kMaxUnreadBytes) {
     seenConnectedAt_ = Clock::now();
     return false;
   }
--- a/tests/incomplete_message_test.cpp
+++ b/tests/incomplete_message_test.cpp
@@ -27,12 +27,14 @@
     request.requestClass = "edit";
     char id[17];
     std::snprintf(id, sizeof id, "%016x", nextId_++);
-    request.id = id;
+    lastId_ = request.id = id;
     request.extra = "Transfer-Encoding: chunked\r\n";
     std::string text = request.text();
     text.erase(text.find("Content-Length: 0\r\n"), 19);
     return text + body;
   }
+  // The connection of the last request that `chunkedRequest` has made.
+  PeerPtr lastWorkerConnection() { return workerConnection(lastId_); }
   static std::string longChunk() { return "13880\r\n" + std::string(80000, 'y') + "\r\n"; }
   // The beginning of a chunk line or a trailer, `bytes` bytes long and without an end.
   static std::string unfinishedChunkLine(std::size_t bytes) {
@@ -49,6 +51,7 @@
 
  private:
   unsigned nextId_ = 0xa100;  // each request has an id of its own
+  std::string lastId_;
 };
 
 // Guards against peers that stop in the middle of a long chunk line or trailer and keep their connections for
@@ -85,7 +88,7 @@
   for (const std::string& beginning : {std::string(), longChunk()}) {
     const auto client = sendRequest(chunkedRequest(beginning));
     client->send(unfinishedChunkLine(12000) + "\r\nbuy\r\n" + unfinishedTrailer(12000) + "\r\n\r\n");
-    const auto workerPeer = workerConnection("00000000000000a1");
+    const auto workerPeer = lastWorkerConnection();
     waitUntil([&] { return workerPeer->has("buy"); }, "the end of the body at the worker");
     workerPeer->send(httpResponse("200 OK", "taken"));
     waitUntil([&] { return client->has("taken"); }, "the response");
@@ -96,7 +99,7 @@
 // Guards against a reset that cuts off the response to a request whose remaining body is turned down.
 TEST_F(IncompleteMessages, AStartedResponseIsCompletedThoughTheRestOfItsRequestIsRejected) {
   const auto client = sendRequest(chunkedRequest(longChunk()));
-  const auto workerPeer = workerConnection("00000000000000a1");
+  const auto workerPeer = lastWorkerConnection();
   workerPeer->send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + std::string(100000, 'z'));
   waitUntil([&] { return client->count("z") > 0; }, "the beginning of the response");
   client->send(unfinishedChunkLine(40000));
