--- a/tools/lab/fleet_processes.cpp
+++ b/tools/lab/fleet_processes.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <filesystem>
@@ -19,8 +20,10 @@
 
 constexpr double kShortPauseMs = 200;           // a pause of at most this length exempts from no rule
 constexpr double kLoadBalancerReactionS = 0.3;  // new connections arrive for this long after SIGTERM
-// A platform may send SIGKILL 0.7 s after the longest deadline, here 3 s, counted from SIGTERM.
-constexpr double kTermTimeoutS = 0.7 + 3;
+// A platform may send SIGKILL 0.7 s after the longest deadline, of 3 s at most, counted from SIGTERM.
+constexpr double kKillAfterDeadlineS = 0.7;
+constexpr double kMaxKillDeadlineS = 3;
+constexpr double kTermTimeoutS = kKillAfterDeadlineS + kMaxKillDeadlineS;
 constexpr double kReadyPollPeriodS = 0.05;  // between two readiness checks of a new process
 constexpr std::chrono::seconds kStartTimeout{15};
 constexpr std::chrono::seconds kEndTimeout{5};
@@ -89,6 +92,19 @@
   });
 }
 
+// Kills the process as early as a platform may. Clients use its connections until then.
+void Fleet::shutDownAndKill(Gatekeeper& gatekeeper) {
+  if (gatekeeper.current.pid <= 0 || gatekeeper.shuttingDown) return;
+  shutDownGracefully(gatekeeper);
+  const double killAfterS = std::min(scenario_.deadlineMs / 1000, kMaxKillDeadlineS) + kKillAfterDeadlineS;
+  clock_.at(clock_.nowMs() / 1000 + killAfterS, [this, &gatekeeper, pid = gatekeeper.current.pid] {
+    if (gatekeeper.current.pid != pid || runIsEnding_) return;
+    runRecord_.crashes.push_back("gatekeeper " + std::to_string(gatekeeper.index) +
+                                 " was still running when it was killed after its drain");
+    sendSignal(gatekeeper, SIGKILL);
+  });
+}
+
 void Fleet::sendSignal(Gatekeeper& gatekeeper, int number) {
   if (gatekeeper.current.pid > 0) ::kill(gatekeeper.current.pid, number);
 }
--- a/tools/lab/fleet_run.hpp
+++ b/tools/lab/fleet_run.hpp
@@ -80,6 +80,7 @@
   /// Sends SIGTERM as a platform does: the load balancer sends new connections for a short time after it, and
   /// requests in flight are not exempt from the rules.
   void shutDownGracefully(Gatekeeper& gatekeeper);
+  void shutDownAndKill(Gatekeeper& gatekeeper);
   void sendSignal(Gatekeeper& gatekeeper, int number);
   /// Ends the process by a signal, as a fault: requests in flight are exempt, and the exit is not
   /// recorded as a crash.
--- a/tools/lab/fleet_steps.cpp
+++ b/tools/lab/fleet_steps.cpp
@@ -60,6 +60,7 @@
   if (kind == "restart") return restartProcess(gatekeeper);
   if (kind == "pause") return pauseProcess(gatekeeper, step.forMs);
   if (kind == "finish") return shutDownGracefully(gatekeeper);
+  if (kind == "finish_kill") return shutDownAndKill(gatekeeper);
   if (kind == "hup") return reloadConfig(gatekeeper, step.patch);
   if (kind == "upgrade") return upgrade(gatekeeper);
   if (kind == "invalidate") return store_->invalidate("g" + std::to_string(gatekeeper.index));
--- a/tools/lab/scenario_steps.cpp
+++ b/tools/lab/scenario_steps.cpp
@@ -7,9 +7,10 @@
 namespace {
 
 const std::set<std::string> kGatekeeperFaults{
-    "kill",  "stop",       "cont",      "term",         "restart",           "upgrade",
-    "hup",   "agent_down", "agent_up",  "invalidate",   "exclude",           "include",
-    "pause", "finish",     "watch_end", "watch_silent", "discovery_crowded", "discovery_ok"};
+    "kill",        "stop",       "cont",        "term",       "restart",      "upgrade",
+    "hup",         "agent_down", "agent_up",    "invalidate", "exclude",      "include",
+    "pause",       "finish",     "finish_kill", "watch_end",  "watch_silent", "discovery_crowded",
+    "discovery_ok"};
 const std::set<std::string> kStoreFaults{"store_stop",   "store_start", "store_wipe",
                                          "store_save",   "store_old",   "store_silent",
                                          "store_errors", "store_lose",  "store_ok"};
--- a/tools/lab/soak/plan.cpp
+++ b/tools/lab/soak/plan.cpp
@@ -33,7 +33,7 @@
     using FaultMethod = InjectedFault (FaultGenerator::*)(double);
     static constexpr FaultMethod kFaults[] = {
         &FaultGenerator::kill,          &FaultGenerator::terminate,
-        &FaultGenerator::terminate,     &FaultGenerator::shortPauses,
+        &FaultGenerator::signalSeries,  &FaultGenerator::shortPauses,
         &FaultGenerator::suspend,       &FaultGenerator::reloads,
         &FaultGenerator::upgrade,       &FaultGenerator::upgrade,
         &FaultGenerator::failingCalls,  &FaultGenerator::failingCalls,
@@ -93,8 +93,22 @@
 
   InjectedFault terminate(double atS) {
     const int g = unusedGatekeeper();
-    return {faultName("terminate gatekeeper", g),
-            {gatekeeperStep(g, atS, "finish"), gatekeeperStep(g, atS + kRestartAfterTerminateS, "restart")}};
+    return {
+        faultName("terminate gatekeeper", g),
+        {gatekeeperStep(g, atS, "finish_kill"), gatekeeperStep(g, atS + kRestartAfterTerminateS, "restart")}};
+  }
+
+  /// Reloads just before, during and just after the beginning of a graceful end.
+  InjectedFault signalSeries(double atS) {
+    const int g = unusedGatekeeper();
+    InjectedFault out{faultName("signals in series to gatekeeper", g), {}};
+    for (const double beforeS : {0.3, 0.02, 0.01})
+      out.steps.push_back(gatekeeperStep(g, atS - beforeS, "hup"));
+    out.steps.push_back(gatekeeperStep(g, atS, "finish_kill"));
+    for (const double afterS : {0.001, 0.05, 0.6})
+      out.steps.push_back(gatekeeperStep(g, atS + afterS, "hup"));
+    out.steps.push_back(gatekeeperStep(g, atS + kRestartAfterTerminateS, "restart"));
+    return out;
   }
 
   /// Pauses as short as a machine may impose on a process; the verifier grants no exemption for them.
