--- a/include/wingslip/decision/gateway.hpp
+++ b/include/wingslip/decision/gateway.hpp
@@ -40,10 +40,10 @@
   unsigned classIndex = 0;  ///< index in Settings::classes
   unsigned planIndex = 0;   ///< index in Settings::plans
   CustomerId customer = 0;
-  Time expiresAt = 0;                     ///< the client's deadline
-  double units = 1;                       ///< quota units; an estimate if Settings::correctsUnits
-  unsigned customerGatewayCount = 1;      ///< number of gateways that receive this customer's requests
-  double memoryBytes = 0;                 ///< memory that the host uses for the request
+  Time expiresAt = 0;                       ///< the client's deadline
+  double units = 1;                         ///< quota units; an estimate if Settings::correctsUnits
+  unsigned customerGatewayCount = 1;        ///< number of gateways that receive this customer's requests
+  double memoryBytes = 0;                   ///< memory that the host uses for the request
   std::optional<EarlierAttempt> earlier{};  ///< set if the id has come before and may have run
 };
 
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -33,6 +33,7 @@
 #include "gatekeeper/upstream_pool.hpp"
 #include "invariant/monitor.hpp"
 #include "net/overload_manager.hpp"
+#include "net/rate_limited_log.hpp"
 #include "replication/replica_node.hpp"
 #include "wingslip/decision/gateway.hpp"
 
@@ -147,6 +148,7 @@
                                 decision::WorkerId worker);
   std::optional<std::string> authorizeSend(decision::RequestId id, decision::WorkerId worker);
   SendRefusal refusalOf(decision::RequestId id, decision::WorkerId worker) const;
+  void logRequest(const RequestInFlight& request, const std::string& event);
   void onAttemptDone(AttemptEnd&& end);
   void recordAttemptEnd(const decision::AttemptOutcome& outcome);
   std::optional<decision::EarlierAttempt> earlierAttemptOf(decision::RequestId id, RequestInFlight& request);
@@ -175,6 +177,7 @@
   decision::Gateway gateway_;
   invariant::Monitor monitor_;
   SendRefusals sendRefusals_;
+  RateLimitedLog requestLog_{"request"};
   SentRequests sentRequests_;
   std::unordered_map<std::uint64_t, decision::RequestId> recordedIds_;  // of requests in flight, by `Req-Id`
   std::unordered_set<decision::WorkerId> excluded_;                     // by an operator
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -92,6 +92,9 @@
   if (!sent && !isInFlight) return std::nullopt;
   request.sendRecorded = true;
   request.mayHaveRun = true;
+  ++metrics_.repeatedIds;
+  requestLog_.warn("id has come before: request=" + std::string(toStringView(request.message["Req-Id"])) +
+                   (isInFlight ? " (in flight)" : ""));
   return decision::EarlierAttempt{sent ? sent->sentAt : clock_.now(), sent ? sent->worker : 0, isInFlight};
 }
 
@@ -207,7 +210,7 @@
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second.responseStarted) return;
   if (!serving_) return reject(id, kRetryAfterBeforeServingMs);
-  if (pool_.streamUnfinishedResponse(id)) return;
+  if (pool_.streamUnfinishedResponse(id)) return void(++metrics_.startedWithoutEnd);
   if (auto end = pool_.cancelAttempt(id, AttemptResult::timeout)) {
     end->outcome.requestFinished = false;
     recordAttemptEnd(end->outcome);
@@ -235,6 +238,11 @@
 
 // --- Workers -----------------------------------------------------------------------------------------------
 
+// The id and the last states of a request whose course is not the ordinary one.
+void Gatekeeper::logRequest(const RequestInFlight& request, const std::string& event) {
+  requestLog_.warn(event + ": " + request.trace.text(clock_.now()));
+}
+
 void Gatekeeper::recordAttemptEnd(const AttemptOutcome& outcome) {
   const auto found = requests_.find(outcome.id);
   if (found == requests_.end()) return;
@@ -301,6 +309,11 @@
   const auto found = requests_.find(end.outcome.id);
   const bool complete = end.outcome.result == AttemptResult::ok;
   found->second.trace.streamedBytes += end.body.size();
+  if (!complete) {
+    ++metrics_.truncatedResponses;
+    logRequest(found->second,
+               "answer cut after " + std::to_string(found->second.trace.streamedBytes) + " bytes");
+  }
   ++(complete ? finalResponses_.served : finalResponses_.failed);
   ++(complete ? found->second.classCounts->success : found->second.classCounts->failure);
   const auto responder = conclude(
@@ -362,7 +375,12 @@
   const Time now = clock_.now();
   const SendRefusal refusal = refusalOf(id, worker);
   sendRefusals_.add(refusal);
-  if (refusal != SendRefusal::none) return std::nullopt;
+  if (refusal != SendRefusal::none) {
+    if (const auto found = requests_.find(id); found != requests_.end())
+      logRequest(found->second,
+                 "not sent: " + std::string(kSendRefusalNames[static_cast<std::size_t>(refusal)]));
+    return std::nullopt;
+  }
   RequestInFlight& request = requests_.at(id);
   Time remaining = remainingMs(request);
   if (!request.bodyArriving) remaining = std::min(remaining, request.attemptExpiresAt - now);
--- a/src/gatekeeper/metrics.hpp
+++ b/src/gatekeeper/metrics.hpp
@@ -37,6 +37,9 @@
   std::uint64_t localResourceShortages = 0;
   std::uint64_t reloadsOk = 0;
   std::uint64_t reloadsFailed = 0;
+  std::uint64_t repeatedIds = 0;        ///< requests whose id had come before and may have run
+  std::uint64_t startedWithoutEnd = 0;  ///< unfinished responses without a length passed on from the deadline
+  std::uint64_t truncatedResponses = 0;  ///< streamed responses that could not be completed
   RetryCounts retries;
   decision::RejectionCounts rejections;
 };
@@ -65,6 +68,9 @@
   line("backend_short", metrics.localResourceShortages, "c");
   line("reconfig_ok", metrics.reloadsOk, "c");
   line("reconfig_failed", metrics.reloadsFailed, "c");
+  line("repeated_ids", metrics.repeatedIds, "c");
+  line("answers.begun_at_deadline", metrics.startedWithoutEnd, "c");
+  line("answers.cut", metrics.truncatedResponses, "c");
   for (std::size_t i = 0; i < RetryCounts::kNames.size(); ++i)
     line(std::string("retry_after.") + RetryCounts::kNames[i], metrics.retries.counts[i], "c");
   line("refused.bucket", metrics.rejections.localQuota, "c");
