Count clients that are not seen where their attempt is not begun

not_sent.client_unseen counted only what was refused at the first byte, not what was not begun at all. The start of serving asks again whether an early request is still in flight, as it did before the list became a map.

--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -164,7 +164,7 @@
   if (!firstListWaitOver_ || std::exchange(serving_, true)) return;
   startTimer_.cancel();
   for (const auto& [id, request] : std::exchange(earlyRequests_, {}))
-    gateway_.onRequest(clock_.now(), request);
+    if (requests_.contains(id)) gateway_.onRequest(clock_.now(), request);
 }
 
 // --- Overload --------------------------------------------------------------------------------------------
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -340,7 +340,9 @@
   // closed from a posted handler, since closing it passes an event to the decision module.
   const bool disconnected = request.responder->hasDisconnected();
   if (disconnected) asio::post(io_, [responder = request.responder] { responder->closeDisconnected(); });
-  if (disconnected || remaining <= 0 || request.bodyForwarded || request.responder->mayHaveDisconnected())
+  const bool unseen = request.responder->mayHaveDisconnected();
+  if (unseen) sendRefusals_.add(SendRefusal::clientUnseen);
+  if (disconnected || unseen || remaining <= 0 || request.bodyForwarded)
     return reportNotSent(id, request.attemptCount++, worker);
   const bool beforeDeadline = timeout > 0 && timeout < remaining;
   if (request.attemptCount > 0) metrics_.retries.add(request.lastAttemptResult);
