Tests: a figure that the sanitized build does not compare is not unused there

The sanitized build failed: -Werror=unused-variable in client_pressure_test.cpp, since the comparison of resident memory is left out under ASan, as in overload_process_test.cpp.

--- a/tests/client_pressure_test.cpp
+++ b/tests/client_pressure_test.cpp
@@ -220,7 +220,7 @@
   program.faults->setDiskError(EIO);  // the program does not serve until it can read the exclusions
   program.start();
   waitUntil([&] { return !runOperatorCommand("telemetry").empty(); }, "the operators' port");
-  const std::size_t before = peakMemory(program.processId());
+  [[maybe_unused]] const std::size_t before = peakMemory(program.processId());
   TestRequest request;
   request.deadline = "1";
   std::string text;
