--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -56,7 +56,7 @@
     one.request.method = "POST";
     one.request.deadlineMs = kDeadlineMs;
     sent.add(one.request);
-    workers.answerLong(one.request.id, {kBytes, kBytes / 2, 50, hasTrouble()});
+    workers.answerLong(one.request.id, {kBytes, kBytes / 2, 50, true, hasTrouble()});
     clients.emplace_back([&] { request(gatekeeper, one); });
     sleepMs(100);
   }
--- a/review/stage/stage.hpp
+++ b/review/stage/stage.hpp
@@ -343,12 +343,13 @@
 
   std::atomic<double> serviceMs{20};
 
-  /// The answer to this id is given in pieces: `bytes` in all, `pieceBytes` every `pieceMs`. One that never
-  /// ends comes in chunks, and after `bytes` neither a further chunk nor the end of the connection comes.
+  /// The answer to this id is given in pieces: `bytes` in all, `pieceBytes` every `pieceMs`. After `bytes` of
+  /// one that never ends, neither a further byte nor the end of the connection comes.
   struct LongAnswer {
     std::size_t bytes = 0;
     std::size_t pieceBytes = 0;
     double pieceMs = 0;
+    bool chunked = false;  ///< has no Content-Length
     bool neverEnds = false;
   };
   void answerLong(const std::string& id, const LongAnswer& answer) {
@@ -416,20 +417,21 @@
   /// Gives a long answer. Returns false where the connection ends first.
   bool giveLong(int worker, int socket, const std::string& id, const LongAnswer& answer) {
     const std::string framing =
-        answer.neverEnds ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(answer.bytes);
+        answer.chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(answer.bytes);
     if (!sendAll(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n")) return false;
     for (std::size_t given = 0; given < answer.bytes; given += answer.pieceBytes) {
       if (given > 0) sleepMs(answer.pieceMs);
       const std::string piece(std::min(answer.pieceBytes, answer.bytes - given), 'a');
-      if (sendAll(socket, answer.neverEnds ? chunk(piece) : piece)) continue;
+      if (sendAll(socket, answer.chunked ? chunk(piece) : piece)) continue;
       record_.line("worker " + std::to_string(worker) + " is cut off by the gatekeeper after " +
                    std::to_string(given) + " bytes of the answer to id=" + id);
       return false;
     }
+    if (!answer.neverEnds) return !answer.chunked || sendAll(socket, chunk(""));
     std::string rest;
-    while (answer.neverEnds && receive(socket, rest, 1000) != 0) {
+    while (receive(socket, rest, 1000) != 0) {
     }
-    return !answer.neverEnds;
+    return false;
   }
 
   void serve(int worker, int socket) {
