Turn down messages whose header leaves open where their body ends

Cause: Beast reads a request whose coding it does not know as one without a body and leaves its rejection to the caller; the gatekeeper did not ask. Answers of workers with such a coding were passed on, coded, as plain ones. Change: checkFraming is asked in parseBuffered once a header is whole, so for clients, workers and discovery alike, and in the two other places that parse HTTP. 400 and a close for a client, a failed attempt for a worker.

--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -14,6 +14,8 @@
 #include <string>
 #include <string_view>
 
+#include "net/message_framing.hpp"
+
 namespace wingslip {
 
 namespace asio = boost::asio;
@@ -64,17 +66,23 @@
 ///
 /// The parser's own limits do not cover chunk lines and trailers, which it consumes only as a whole. A
 /// message of which more than `kMaxHeaderBytes` bytes remain unparsed is therefore invalid (`header_limit`).
+///
+/// The parser reads a body as absent, or as lasting until the close, if it does not understand its framing. A
+/// message with an unclear framing is therefore invalid as soon as its header is read (`checkFraming`).
 /// @return whether the message is complete; `error` is set if it is invalid
 template <class Parser>
 bool parseBuffered(Parser& parser, beast::flat_buffer& in, Error& error) {
   parser.eager(false);
   while (!parser.is_done() && in.size() > 0) {
+    const bool inHeader = !parser.is_header_done();
     const std::size_t used = parser.put(in.data(), error);
     in.consume(used);
     if (error == http::error::need_more) {
       error = {};
       if (used == 0) break;
     }
+    if (!error && inHeader && parser.is_header_done())
+      error = checkFraming(parser.get().version(), parser.get().base());
     if (error) return false;
   }
   if (!parser.is_done() && in.size() > kMaxHeaderBytes) error = http::error::header_limit;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -77,6 +77,8 @@
           if (isTransient(error)) return read();
           if (error)
             return complete(nullptr, error == http::error::body_limit ? "too long an answer" : "broken");
+          if (parser_.is_header_done() && checkFraming(parser_.get().version(), parser_.get().base()))
+            return complete(nullptr, "broken");
           if (parser_.is_done()) return complete(&parser_.get(), "");
           if (!memory_.resize(kCallBytes + requestText_.size() +
                               parser_.get().body().size() * client_.limits_.memoryPerBodyByte))
--- a/src/replication/replica_connection.cpp
+++ b/src/replication/replica_connection.cpp
@@ -53,7 +53,7 @@
 void ReplicaConnection::onRead(const Error& error) {
   if (error == http::error::body_limit) return reject(http::status::payload_too_large);
   if (isTransient(error)) return read();
-  if (error) {
+  if (error || (parser_.is_header_done() && checkFraming(parser_.get().version(), parser_.get().base()))) {
     ++counts_.malformed;
     return end();
   }
