Answer everything that has been read before a drain ends

Cause: requests in flight were failed once, 0.4 s after the longest deadline; what was still being read then was admitted later and lost at the exit. While draining, each answer closed its connection over whatever had been read behind it. In an upgrade the steps could come after the kill. Change: DrainSchedule orders the steps before the kill; from the refusal on everything read in part or later is answered 503 at once; a connection is closed only when nothing is behind its request, and nothing is read behind an answer that announces the close.

--- a/src/gatekeeper/client_connection.cpp
+++ b/src/gatekeeper/client_connection.cpp
@@ -76,6 +76,12 @@
   if (state_ == State::reading && !parser_->is_header_done()) armTimer(kIncompleteRequestTimeoutAtStop);
 }
 
+void ClientServer::Connection::refuseIncomplete() {
+  if (state_ != State::reading || isReadDue()) return;
+  if (!requestStarted()) return closeIdle();
+  rejectRest(kShuttingDown, server_.rejectionRetryAfterMs());
+}
+
 void ClientServer::Connection::closeIdle() {
   if (awaitingFirstRequest_)
     return close(CloseReason::idleTimeout);  // no response was sent that a reset could discard
@@ -229,6 +235,8 @@
   if (closeAfterResponse_) return linger();
   startAwaitingRequest();
   if (input_.size() > 0) parseRequest();
+  if (server_.closesIdle_ && isIdle() && !isReadDue()) return closeIdle();
+  if (server_.refusing_) refuseIncomplete();
   if (state_ != State::closed) read();
 }
 
--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -27,6 +27,9 @@
 /// The response to a request for which there is no free connection slot or no memory.
 constexpr ImmediateResponse kNoCapacity{http::status::service_unavailable,
                                         "refused: no room, try again later"};
+/// The response to a request that is read, or still being read, when the process is about to exit.
+constexpr ImmediateResponse kShuttingDown{http::status::service_unavailable,
+                                          "refused: shutting down, try again elsewhere"};
 /// The response to a request that its client sends too slowly.
 constexpr ImmediateResponse kTooSlow{http::status::request_timeout, "too slow"};
 
@@ -90,6 +93,9 @@
   /// request that arrives during the lingering close is discarded; its client retries it on another
   /// connection.
   void closeIdle();
+  /// For use while the server refuses requests: refuses a request that has been read in part, and closes an
+  /// idle connection. Does nothing if bytes are about to be read; the read handler calls it again.
+  void refuseIncomplete();
   /// Closes an overflow connection to free its slot; with a rejection if a request has started.
   void evictFromOverflow();
 
@@ -124,6 +130,9 @@
   // Whether no complete header of a request has been read since the last response.
   bool isAwaitingHeader() const { return state_ == State::reading && !inBody_; }
   bool hasUnansweredRequest() const;
+  bool hasInputBehindRequest();
+  bool mustCloseAfterResponse();
+  bool announcedClose() const;
   void recordWait(WaitQueue queue) {
     waitRecord_.enter(server_.overloadManager_.waitQueues(), queue, OverloadManager::now());
   }
@@ -162,6 +171,7 @@
   std::chrono::milliseconds measureUnreadWait();
   void onStreamedRequest();
   void onBufferedRequest(ClientMessage&& message);
+  const ImmediateResponse* refusalOf(const ParsedRequest& request);
   void admit(const ParsedRequest& request, ClientMessage&& message);
 
   // Writing a response (client_connection_writing.cpp)
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -79,6 +79,7 @@
 void ClientServer::Connection::onReadable(const Error& waitError) {
   reading_ = false;
   bodyLag_.stopAwaitingClient(Clock::now());
+  if (announcedClose()) return read();
   Error error = waitError;
   const std::size_t bytes = error ? 0 : readSome(socket_, input_.prepare(readSize()), error);
   if (error == asio::error::would_block) return read();
@@ -89,6 +90,7 @@
   if (inBody_ && !bodyDone_ && !checkBodyRate(bytes)) return;
   processInput();
   if (isAwaitingHeader() && timer_.expiry() <= Clock::now()) onTimeout();
+  if (server_.refusing_) refuseIncomplete();
   if (state_ != State::closed) read();
 }
 
@@ -108,9 +110,11 @@
 }
 
 // While a request is being read, its parser needs more bytes and its limits bound the buffer. Only the
-// requests behind the one in flight and the window of a streamed body can fill it.
+// requests behind the one in flight and the window of a streamed body can fill it. Nothing is read behind a
+// response that announces the close: what the client sends then crosses the close, and is not answered.
 bool ClientServer::Connection::canBufferInput() const {
   if (state_ == State::reading) return true;
+  if (announcedClose()) return false;
   if (!bodyDone_) return parser_->get().body().size() < kStreamReadBytes;
   return input_.size() < kMaxReadAhead;
 }
@@ -221,16 +225,22 @@
   auto parsed = parseClientRequest(message, server_.config_);
   if (const auto* rejection = std::get_if<ImmediateResponse>(&parsed)) return reject(*rejection);
   ParsedRequest& request = std::get<ParsedRequest>(parsed);
-  if (overflow_ && !server_.hasCapacity()) {
-    server_.handler_.onRequestRejected(request.classIndex);
-    countRejection(WaitQueue::freeConnection);
-    return reject(kNoCapacity, server_.rejectionRetryAfterMs());
-  }
+  if (const auto* refusal = refusalOf(request)) return reject(*refusal, server_.rejectionRetryAfterMs());
   request.memoryBytes = memoryBytes(0) + requestBytes_;
   request.clientWaitMs = std::max(0.0, request.clientWaitMs - waitedMs);
   admit(request, std::move(message));
 }
 
+// The response to a request that is not admitted; null if it is. Counts it.
+const ImmediateResponse* ClientServer::Connection::refusalOf(const ParsedRequest& request) {
+  const bool withoutCapacity = overflow_ && !server_.hasCapacity();
+  if (!server_.refusing_ && !withoutCapacity) return nullptr;
+  server_.handler_.onRequestRejected(request.classIndex);
+  if (server_.refusing_) return &kShuttingDown;
+  countRejection(WaitQueue::freeConnection);
+  return &kNoCapacity;
+}
+
 void ClientServer::Connection::admit(const ParsedRequest& request, ClientMessage&& message) {
   leaveOverflow();
   state_ = State::inFlight;
@@ -253,11 +263,7 @@
   auto parsed = parseClientRequest(message, server_.config_);
   if (const auto* rejection = std::get_if<ImmediateResponse>(&parsed)) return reject(*rejection);
   ParsedRequest& request = std::get<ParsedRequest>(parsed);
-  if (overflow_ && !server_.hasCapacity()) {
-    server_.handler_.onRequestRejected(request.classIndex);
-    countRejection(WaitQueue::freeConnection);
-    return rejectRest(kNoCapacity, server_.rejectionRetryAfterMs());
-  }
+  if (const auto* refusal = refusalOf(request)) return rejectRest(*refusal, server_.rejectionRetryAfterMs());
   request.bodyComplete = false;
   request.memoryBytes =
       memoryBytes(2 * kStreamReadBytes) + requestBytes_;  // one piece here and one being sent to the worker
--- a/src/gatekeeper/client_connection_writing.cpp
+++ b/src/gatekeeper/client_connection_writing.cpp
@@ -15,8 +15,7 @@
 void ClientServer::Connection::respond(ClientResponse&& response) {
   if (state_ != State::inFlight) return;
   responseMemory_ = std::move(response.bodyMemory);
-  closeAfterResponse_ = closeAfterResponse_ || server_.draining_ || overflow_ ||
-                        server_.overloadManager_.areDescriptorsOverloaded() ||
+  closeAfterResponse_ = closeAfterResponse_ || overflow_ || mustCloseAfterResponse() ||
                         (server_.overloadManager_.isMemoryOverloaded() && !bodyDone_);
   state_ = State::responding;
   recordWait(WaitQueue::responseWrite);
@@ -26,10 +25,29 @@
   write();
 }
 
+// Whether bytes that the client sent behind the request have been read or wait to be read. After a close they
+// would get no answer.
+bool ClientServer::Connection::hasInputBehindRequest() {
+  if (!bodyDone_) return false;  // they belong to the request's own body
+  Error error;
+  return input_.size() > 0 || socket_.available(error) > 0;
+}
+
+bool ClientServer::Connection::mustCloseAfterResponse() {
+  if (!server_.draining_ && !server_.overloadManager_.areDescriptorsOverloaded()) return false;
+  return !hasInputBehindRequest();
+}
+
+// Whether the client has been told, or is being told, that its connection is closed after this response.
+bool ClientServer::Connection::announcedClose() const {
+  return closeAfterResponse_ && bodyDone_ && (state_ == State::streaming || state_ == State::responding);
+}
+
 void ClientServer::Connection::startStream(const StreamedResponseHead& head) {
   if (state_ != State::inFlight) return;
   output_.chooseFraming(head, requestVersion_);
-  closeAfterResponse_ = closeAfterResponse_ || server_.draining_ || !output_.isDelimited();
+  closeAfterResponse_ =
+      closeAfterResponse_ || !output_.isDelimited() || (server_.draining_ && !hasInputBehindRequest());
   state_ = State::streaming;
   responseStreamed_ = true;
   recordWait(WaitQueue::responseBodyWindow);
--- a/src/gatekeeper/client_server.cpp
+++ b/src/gatekeeper/client_server.cpp
@@ -334,10 +334,16 @@
 }
 
 void ClientServer::closeIdleConnections() {
+  closesIdle_ = true;
   for (const auto& connection : std::vector(connections_.begin(), connections_.end()))
     connection->closeIfIdle();
 }
 
+void ClientServer::refuseIncompleteRequests() {
+  for (const auto& connection : std::vector(connections_.begin(), connections_.end()))
+    connection->refuseIncomplete();
+}
+
 void ClientServer::notifyWhenEmpty(std::function<void()> done) {
   done_ = std::move(done);
   if (connections_.empty() && !acceptor_.is_open()) done_();
--- a/src/gatekeeper/client_server.hpp
+++ b/src/gatekeeper/client_server.hpp
@@ -89,14 +89,19 @@
   /// Closed connections by reason, since the start of the process.
   const CloseCounts& closes() const { return closes_; }
 
-  /// From this call on, each connection is closed after its next response.
+  /// From this call on, each connection is closed after the response to the last request received on it.
   void startDrain() { draining_ = true; }
   /// Stops accepting. With a listening socket of its own, the server first accepts the connections in the
   /// accept queue; a socket owned by the platform keeps listening, and the next process accepts its queue.
   void stopAccepting();
-  /// Closes the connections that have no request in progress. A new connection and an incomplete request
-  /// header get a short time limit instead.
+  /// Closes the connections that have no request in progress, now and whenever one becomes idle later. A new
+  /// connection and an incomplete request header get a short time limit instead.
   void closeIdleConnections();
+  /// From this call on, each request that is read is refused. Requests in flight are not affected.
+  void startRefusing() { refusing_ = true; }
+  /// Refuses the requests that have been read in part, and closes idle connections. For use after
+  /// `startRefusing`, which refuses those of which more is read later.
+  void refuseIncompleteRequests();
   /// Calls `done` once all connections and the listener are closed, possibly before this returns.
   void notifyWhenEmpty(std::function<void()> done);
 
@@ -146,6 +151,8 @@
   bool acceptEnabled_ = false;               // between `startAccepting` and `stopAccepting`
   bool acceptPending_ = false;               // a wait for the listener to become readable is pending
   bool draining_ = false;
+  bool closesIdle_ = false;  // `closeIdleConnections` has been called
+  bool refusing_ = false;    // `startRefusing` has been called
 };
 
 }  // namespace wingslip
--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "gatekeeper/drain_schedule.hpp"
 #include "gatekeeper/gatekeeper_limits.hpp"
 #include "net/log.hpp"
 
@@ -18,17 +19,6 @@
 using decision::WorkerId;
 using namespace std::chrono_literals;
 
-// Times of the steps of a drain, counted from SIGTERM. New connections arrive for up to 400 ms after SIGTERM.
-constexpr auto kAcceptAfterSigterm = 500ms;
-// In an upgrade, idle connections are closed at this time; their clients then connect to the new process.
-constexpr auto kCloseIdleAfterSigterm = 1200ms;
-// The platform may kill the process 700 ms after the longest deadline, counted from SIGTERM and limited to
-// kMaxDrainDeadlineMs. Requests still in flight kFailRemainingAfterMs after that deadline are failed, and the
-// process exits kExitAfterMs after it.
-constexpr Time kMaxDrainDeadlineMs = 3000;
-constexpr Time kFailRemainingAfterMs = 400;
-constexpr Time kExitAfterMs = 550;
-
 // Limits the wait for the exclusions at the start: the platform kills a process that is not ready after 30 s.
 constexpr auto kExclusionsTimeout = 20s;
 constexpr auto kReadyPollInterval = 20ms;        // of the check whether this process is ready to serve
@@ -256,7 +246,7 @@
 // --- Drain -----------------------------------------------------------------------------------------------
 
 // If the platform owns the listening socket, the next process already accepts. This process's connections
-// stay open for kCloseIdleAfterSigterm, so that requests that clients are sending are still read.
+// stay open until `DrainSchedule::closeIdleMs`, so that requests that clients are sending are still read.
 void Gatekeeper::drain(std::function<void()> done) {
   draining_ = true;
   processLog().info("event=drain held={} client_connections={}", requests_.size(), server_.connections());
@@ -268,17 +258,17 @@
   Time longestDeadlineMs = 0;
   for (const auto& requestClass : config_.settings.classes)
     longestDeadlineMs = std::max(longestDeadlineMs, requestClass.deadlineMs);
-  const Time waitMs = std::min(longestDeadlineMs, kMaxDrainDeadlineMs);
+  const DrainSchedule schedule = drainSchedule(longestDeadlineMs, nextProcessAccepts);
   const auto sigtermAt = std::chrono::steady_clock::now();
-  const auto closeIdleAt = sigtermAt + (nextProcessAccepts ? kCloseIdleAfterSigterm : kAcceptAfterSigterm);
-  drainStepAt(closeIdleAt, [this, sigtermAt, waitMs, nextProcessAccepts, done = std::move(done)] {
-    if (!nextProcessAccepts) server_.stopAccepting();
-    closeIdleClients(done);
-    drainStepAt(sigtermAt + toDuration(waitMs + kFailRemainingAfterMs), [this, sigtermAt, waitMs, done] {
-      failRemaining();
-      drainStepAt(sigtermAt + toDuration(waitMs + kExitAfterMs), [this, done] { finishDrain(done); });
-    });
-  });
+  drainStepAt(sigtermAt + toDuration(schedule.closeIdleMs),
+              [this, sigtermAt, schedule, nextProcessAccepts, done = std::move(done)] {
+                if (!nextProcessAccepts) server_.stopAccepting();
+                closeIdleClients(done);
+                drainStepAt(sigtermAt + toDuration(schedule.refuseMs), [this, sigtermAt, schedule, done] {
+                  answerRemaining();
+                  drainStepAt(sigtermAt + toDuration(schedule.exitMs), [this, done] { finishDrain(done); });
+                });
+              });
 }
 
 // Reuses the timer of the previous step, which has run by then.
@@ -289,6 +279,14 @@
   });
 }
 
+// From now on until the exit everything that has been read gets its answer at once: there is no time left for
+// a worker.
+void Gatekeeper::answerRemaining() {
+  server_.startRefusing();
+  failRemaining();
+  server_.refuseIncompleteRequests();
+}
+
 void Gatekeeper::closeIdleClients(const std::function<void()>& done) {
   server_.closeIdleConnections();
   server_.notifyWhenEmpty([this, done] { finishDrain(done); });
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -119,6 +119,7 @@
   // Drain (gatekeeper.cpp)
   void drainStepAt(SteadyTime at, std::function<void()> step);
   void closeIdleClients(const std::function<void()>& done);
+  void answerRemaining();
   void failRemaining();
   void finishDrain(const std::function<void()>& done);
 
