End responses that never end, whatever their framing and however they drip

Cause: an unfinished response without a length was ended after the deadline only below 16 KiB; above, only 10 s without a byte ended it, and a byte now and then put that off for ever, as for every long response. Change: from 0.41 s after the deadline one of 16 to 64 KiB has to progress like a long one, steadily or in lumps; the limit of a streamed response counts from the last 16 KiB (StallTime); a stated length over 64 KiB starts a response with its first byte of body; a request's body that is still taken does not extend the limit.

--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -159,6 +159,7 @@
   void cancelAttempt(decision::RequestId id);
   void onResponseStart(decision::RequestId id, const std::string& contentType,
                        std::optional<std::uint64_t> length);
+  void endShortResponse(decision::RequestId id);
   void startShortResponseTimer(decision::RequestId id, RequestInFlight& request);
   void forwardPiece(decision::RequestId id, std::string&& piece);
   void finishStreamedResponse(AttemptEnd& end);
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -21,9 +21,10 @@
 // Part of the client's deadline that is reserved for returning the response to the client. Of it,
 // this process takes 0.4 ms at the 99th percentile.
 constexpr Time kResponseReserveMs = 10;
-// From the deadline until a response without a length must have brought a whole window of its body to count
-// as a long one. The final answer is due 500 ms after the deadline.
+// From the deadline until a response without a length must progress like a long one. The final answer of any
+// other response is due 500 ms after the deadline.
 constexpr Time kShortResponseGraceMs = 400;
+constexpr Time kShortResponseRecheckMs = 100;
 constexpr Time kMaxUploadMs = 30 * 60 * 1000;     // longer than the slowest client takes to send a body
 constexpr Time kRetryAfterBeforeServingMs = 250;  // Retry-After of requests rejected before serving starts
 
@@ -285,13 +286,23 @@
   found->second.responder->startStream({contentType, length});
 }
 
-// Without a length, a response that the worker never ends cannot be told from a long one until it has brought
-// some of its body.
+// Without a length, a response that the worker never ends is told from a long one by its progress alone,
+// until it is longer than any short one.
 void Gatekeeper::startShortResponseTimer(RequestId id, RequestInFlight& request) {
   const Time endsAt = request.responseDueAt + kResponseReserveMs + kShortResponseGraceMs;
   request.deadlineTimer.expires_after(toDuration(endsAt - clock_.now()));
   request.deadlineTimer.async_wait([this, id](const Error& error) {
-    if (!error) pool_.endShortResponse(id);
+    if (!error) endShortResponse(id);
+  });
+}
+
+void Gatekeeper::endShortResponse(RequestId id) {
+  if (!pool_.endShortResponse(id)) return;
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  found->second.deadlineTimer.expires_after(toDuration(kShortResponseRecheckMs));
+  found->second.deadlineTimer.async_wait([this, id](const Error& error) {
+    if (!error) endShortResponse(id);
   });
 }
 
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -35,6 +35,13 @@
 // quarantine, so that the second response is not taken for the response to that request.
 constexpr auto kLateResponseQuarantine = std::chrono::milliseconds(6);
 
+// What tells a response without a stated length that is long from a short one that its worker does not end,
+// once a short one would be due: it goes on steadily, or comes in large pieces with pauses.
+constexpr std::chrono::milliseconds kSteadySpan{400};
+constexpr std::size_t kMinSteadyBytes = 1600;          // in kSteadySpan: 4 bytes/ms
+constexpr double kMinBytesPerMs = 32;                  // over RecentBytes::kMaxSpan
+constexpr std::size_t kMinUndecidedBytes = 16 * 1024;  // of the body; with less, it counts as short
+
 using QuickAcknowledgement = asio::detail::socket_option::boolean<IPPROTO_TCP, TCP_QUICKACK>;
 
 }  // namespace
@@ -129,7 +136,7 @@
     if (response_.bodyBytes() >= kStreamReadBytes) streamUnfinishedResponse();
     return;
   }
-  if (expectsBodyPieces() && hasWorkerTakenBytes())
+  if (!streaming_ && expectsBodyPieces() && hasWorkerTakenBytes())
     return armTimer(Clock::now() + context_.limits.streamStallTimeout);
   WaitQueue queue = connected_ ? WaitQueue::awaitingResponse : WaitQueue::connecting;
   if (expectsBodyPieces()) queue = WaitQueue::requestBodyWindow;
@@ -157,6 +164,8 @@
   streaming_ = false;
   busy_ = true;
   response_.reset();
+  recentBytes_.reset();
+  stallTime_.reset();
   recordWait(connected_ ? WaitQueue::awaitingResponse : WaitQueue::connecting);
   if (!connected_) return connect();
   quarantined_ = !quarantineOver();
@@ -278,7 +287,7 @@
 
 void UpstreamConnection::read() {
   if (reading_) return;
-  if (streaming_) armTimer(Clock::now() + context_.limits.streamStallTimeout);
+  if (streaming_) awaitResponse();
   if (!memory_.resize(memoryBytes(readSize()))) return waitForMemory();
   pausedRead_.clear();
   reading_ = true;
@@ -300,8 +309,15 @@
   context_.overload.pauseUntilMemory(pausedRead_, Account::workers, weak_from_this(), retry, nullptr);
 }
 
+// Arms the timer for the time when the worker will have made no progress for too long.
+void UpstreamConnection::awaitResponse() {
+  stallTime_.startWait(Clock::now());
+  armTimer(stallTime_.expiresAt(context_.limits.streamStallTimeout));
+}
+
 void UpstreamConnection::onRead(const Error& error, std::size_t bytes) {
   response_.commit(bytes);
+  stallTime_.add(Clock::now(), bytes);
   if (!busy_) return owner_.closeConnection(*this);
   if (isTransient(error)) return read();
   error ? onConnectionLost(error) : parseResponse();
@@ -329,7 +345,9 @@
 }
 
 void UpstreamConnection::parseResponse() {
+  const std::size_t bodyBytesBefore = response_.bodyBytes();
   const auto state = response_.parse({requestWritten_, expectsBodyPieces()});
+  recentBytes_.add(Clock::now(), response_.bodyBytes() - bodyBytesBefore);
   UpstreamStats& stats = context_.stats;
   stats.maxBufferedBytes = std::max(stats.maxBufferedBytes, response_.bufferedBytes());
   if (state == UpstreamResponse::State::malformed) {
@@ -338,7 +356,7 @@
   }
   if (!streaming_ && response_.exceedsBuffer()) {
     if (!response_.isOk()) return onResponse(false);  // the body of an error response is not needed
-    startStreaming();
+    if (response_.bodyBytes() > 0) startStreaming();
   }
   if (state == UpstreamResponse::State::complete) return onResponse(true);
   if (!streaming_) return read();
@@ -349,6 +367,7 @@
   std::string piece = response_.takeBody();
   if (piece.empty()) return resumeResponse();
   timer_.cancel();  // no timeout runs while the consumer handles the piece
+  stallTime_.stopWait(Clock::now());
   context_.streams.onBodyPiece(outcome_.id, std::move(piece));
 }
 
@@ -359,9 +378,23 @@
   return true;
 }
 
-void UpstreamConnection::endShortResponse() {
-  if (!busy_ || !streaming_ || !response_.isUnfinishedWithoutLength()) return;
-  if (response_.bodyBytes() < kStreamReadBytes) endAttempt(AttemptResult::timeout);
+bool UpstreamConnection::endShortResponse() {
+  if (!busy_ || !streaming_ || !response_.isUnfinishedWithoutLength()) return false;
+  if (response_.bodyBytes() > kMaxBufferedBodyBytes) return false;
+  const bool consumerHasPiece = !reading_ && !pausedRead_.isRegistered();
+  if (consumerHasPiece || progressesLikeLongResponse()) return true;
+  endAttempt(AttemptResult::timeout);
+  return false;
+}
+
+bool UpstreamConnection::progressesLikeLongResponse() const {
+  if (response_.bodyBytes() < kMinUndecidedBytes) return false;
+  const auto now = Clock::now();
+  if (recentBytes_.within(now, kSteadySpan) >= kMinSteadyBytes) return true;
+  const std::chrono::duration<double, std::milli> span =
+      std::min<Clock::duration>(recentBytes_.age(now), RecentBytes::kMaxSpan);
+  return static_cast<double>(recentBytes_.within(now, RecentBytes::kMaxSpan)) >=
+         kMinBytesPerMs * span.count();
 }
 
 void UpstreamConnection::startStreaming() {
@@ -373,7 +406,7 @@
 
 void UpstreamConnection::resumeResponse() {
   if (ended() || !busy_ || !streaming_) return;
-  if (reading_) return armTimer(Clock::now() + context_.limits.streamStallTimeout);
+  if (reading_) return awaitResponse();
   read();
 }
 
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "gatekeeper/response_progress.hpp"
 #include "gatekeeper/upstream_attempt.hpp"
 #include "gatekeeper/upstream_response.hpp"
 #include "net/guarded_connection.hpp"
@@ -87,8 +88,10 @@
   /// length, its attempt would otherwise end although the response is on its way. Returns whether it has
   /// started: false if there is no such response, or if it is streamed already.
   bool streamUnfinishedResponse();
-  /// Ends a streamed response without a stated length if its body is still shorter than one window.
-  void endShortResponse();
+  /// For a streamed response without a stated length, from the time on when a short one is due: ends it
+  /// unless it is a long one, or progresses like one.
+  /// @return whether this cannot be told yet, so that it has to be called again
+  [[nodiscard]] bool endShortResponse();
 
   decision::RequestId requestId() const { return outcome_.id; }
   /// Whether the current attempt is still connecting or in quarantine, so that none of its bytes has been
@@ -136,6 +139,8 @@
   void parseResponse();
   void startStreaming();
   void forwardBody();
+  void awaitResponse();
+  bool progressesLikeLongResponse() const;
   void onConnectionLost(const Error& error);
   void onResponse(bool complete);
   void endAttempt(decision::AttemptResult result);
@@ -163,6 +168,8 @@
   Clock::time_point startedAt_;
   Clock::time_point expiresAt_;  // when the attempt or idle connection times out; max: never
   Clock::time_point idleSince_;
+  RecentBytes recentBytes_;  // of the response's body
+  StallTime stallTime_;      // of the worker, while the response is streamed
   bool connected_ = false;
   bool quarantined_ = false;  // the attempt waits until `quarantineOver`
   bool busy_ = false;
--- a/src/gatekeeper/upstream_pool.cpp
+++ b/src/gatekeeper/upstream_pool.cpp
@@ -129,11 +129,11 @@
   return connection->streamUnfinishedResponse();
 }
 
-void UpstreamPool::endShortResponse(RequestId id) {
+bool UpstreamPool::endShortResponse(RequestId id) {
   const auto found = busy_.find(id);
-  if (found == busy_.end()) return;
+  if (found == busy_.end()) return false;
   const ConnectionPtr connection = found->second;
-  connection->endShortResponse();
+  return connection->endShortResponse();
 }
 
 void UpstreamPool::onAttemptDone(UpstreamConnection& connection, AttemptEnd&& end) {
--- a/src/gatekeeper/upstream_pool.hpp
+++ b/src/gatekeeper/upstream_pool.hpp
@@ -69,7 +69,7 @@
   /// See `UpstreamConnection::streamUnfinishedResponse`. False if the request has no attempt in flight.
   [[nodiscard]] bool streamUnfinishedResponse(decision::RequestId id);
   /// See `UpstreamConnection::endShortResponse`. Calls `AttemptDone` if it ends the attempt.
-  void endShortResponse(decision::RequestId id);
+  [[nodiscard]] bool endShortResponse(decision::RequestId id);
 
   /// Attempts not started because of the connection limit or the memory budget, since the start.
   std::uint64_t localResourceShortages() const { return localResourceShortages_; }
