Count the time that a request waits behind others on its connection

Cause: the deadline of every request but a connection's first counted from when the one before was answered, though it had been read with that one. Change: the time since the last read counts, which is at most the time since the request's last byte.

--- a/src/gatekeeper/client_connection.hpp
+++ b/src/gatekeeper/client_connection.hpp
@@ -205,6 +205,7 @@
   ResponseBuffer output_;
   State state_ = State::reading;
   Clock::time_point idleSince_;
+  Clock::time_point lastReadAt_ = openedAt_;       // when bytes were last read
   Clock::time_point seenConnectedAt_ = openedAt_;  // when an end of the stream would last have been seen
   decision::RequestId requestId_ = 0;
   std::size_t unacknowledgedBytes_ = 0;  // of the response, when the write timer was started
--- a/src/gatekeeper/client_connection_reading.cpp
+++ b/src/gatekeeper/client_connection_reading.cpp
@@ -85,6 +85,7 @@
   if (error == asio::error::would_block) return read();
   if (error) return close(closeReasonOf(error));
   input_.commit(bytes);
+  lastReadAt_ = Clock::now();
   mayHaveDisconnected();  // notes that the client is connected
   if (state_ == State::lingering && !discardInput()) return;
   if (inBody_ && !bodyDone_ && !checkBodyRate(bytes)) return;
@@ -210,10 +211,12 @@
   write();
 }
 
-// Time from the arrival of the last bytes of the connection's first request until now, so that the time in
-// the accept queue counts against the client's deadline. 0 for later requests, which are read as they arrive.
+// At least the time from the arrival of the request's last bytes until now, as far as the request is here, so
+// that it counts against the client's deadline. The first request of a connection may have waited in the
+// accept queue. Later requests are read as they arrive, and may then have waited behind the one in flight.
 std::chrono::milliseconds ClientServer::Connection::measureUnreadWait() {
-  if (!awaitingFirstRequest_ || !tcpStateKnown_) return std::chrono::milliseconds(0);
+  const auto sinceRead = std::chrono::floor<std::chrono::milliseconds>(Clock::now() - lastReadAt_);
+  if (!awaitingFirstRequest_ || !tcpStateKnown_) return sinceRead;
   const std::chrono::milliseconds waited = timeSinceLastData(socket_);
   server_.stats_.maxUnreadWaitMs =
       std::max(server_.stats_.maxUnreadWaitMs, static_cast<double>(waited.count()));
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -89,6 +89,34 @@
   EXPECT_LT(client->received.find("one"), client->received.find("two"));
 }
 
+// Guards against requests that wait behind others on their connection and get a whole deadline from when
+// their turn comes, long after their client has given up.
+TEST_F(GatekeeperEndToEnd, TheTimeBehindOtherPipelinedRequestsCountsAgainstTheDeadline) {
+  startWithWatch();
+  const auto client = connectTo(gatekeeper->address());
+  std::string text;
+  for (const char* id : {"00000000000000a1", "00000000000000a2", "00000000000000a3"}) {
+    TestRequest request;
+    request.requestClass = "order";
+    request.id = id;
+    request.deadline = "600";
+    text += request.text();
+  }
+  client->send(text);
+  const auto sentAt = std::chrono::steady_clock::now();
+  for (const char* id : {"00000000000000a1", "00000000000000a2"}) {
+    waitForRequestAtWorker(id);
+    const auto answerAt = std::chrono::steady_clock::now() + std::chrono::milliseconds(350);
+    waitUntil([&] { return std::chrono::steady_clock::now() >= answerAt || client->count("HTTP/1.1 ") == 3; },
+              "the time that the worker takes");
+    for (const PeerPtr& peer : worker.peers) peer->send(httpResponse("200 OK", "served"));
+  }
+  waitUntil([&] { return client->count("HTTP/1.1 ") == 3; }, "all answers");
+  EXPECT_LT(std::chrono::steady_clock::now() - sentAt, std::chrono::milliseconds(600 + 550));
+  EXPECT_EQ(client->count("HTTP/1.1 200"), 1u) << client->received;
+  EXPECT_EQ(worker.count("Req-Id: 00000000000000a3"), 0u);
+}
+
 // A malformed request must get a client error (4xx) instead of a rejection, since a rejection invites the
 // client to repeat the same request later.
 TEST_F(GatekeeperEndToEnd, MalformedRequestsGetClientErrorsAndAreNotSent) {
