--- a/tests/staging_test.cpp
+++ b/tests/staging_test.cpp
@@ -2,7 +2,7 @@
 // connections to workers that are established late, and clients that leave.
 #include <set>
 
-#include "program_under_faults.hpp"
+#include "staging_fixture.hpp"
 
 namespace wingslip::test {
 namespace {
@@ -10,42 +10,6 @@
 using namespace std::chrono_literals;
 using Steady = std::chrono::steady_clock;
 
-class StagingFaults : public GatekeeperUnderFaults {
- protected:
-  /// The configuration with short times: a response that may be retried is awaited for 400 ms, and keyed
-  /// requests may be repeated for 700 ms.
-  json stagingConfig() {
-    json configuration = config();
-    json& classes = configuration["settings"]["profiles"];
-    for (json& requestClass : classes) {
-      requestClass["aim"] = 400.0;
-      requestClass["deadline"] = 3000.0;
-    }
-    classes[1]["aim"] = 3000.0;
-    classes[1]["window"] = 700.0;
-    classes[1]["dedupScope"] = "all";
-    return configuration;
-  }
-
-  void runFor(std::chrono::milliseconds span) {
-    const auto until = Steady::now() + span;
-    while (Steady::now() < until) {
-      io.restart();
-      io.run_for(std::chrono::milliseconds(5));
-    }
-  }
-
-  PeerPtr workerOf(Listener& listener, const std::string& id) {
-    const auto find = [&]() -> PeerPtr {
-      for (const PeerPtr& peer : listener.peers)
-        if (peer->has(id)) return peer;
-      return nullptr;
-    };
-    waitUntil([&] { return find() != nullptr; }, "the request at the worker");
-    return find();
-  }
-};
-
 /// How a worker writes a response that has no Content-Length.
 struct SlowResponse {
   const char* name;
