Keep long responses whose header has come and whose body comes late

Change: what ends an attempt at a time limit asks whether the header says that the response may be long: it states over 64 KiB, or no length. A stated one is passed on at the attempt's time-out, or at the deadline where there is no time-out. From then on the limit of a streamed response counts, 10 s without 16 KiB, which single bytes cannot move. Until the time-out a worker that breaks off behind its header can still be replaced by another.

--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -203,7 +203,7 @@
   if (auto attempt = pool_.cancelAttempt(id, AttemptResult::cancelled)) onAttemptDone(std::move(*attempt));
 }
 
-// A response without a length that has begun is passed on from now on, for it may be a long one. Any other
+// A response that has begun and may be long, by its header, is passed on from now on. Any other
 // attempt in flight is reported to the decision module as timed out, at a time that is never before the
 // deadline. The client gets a response now, even if the decision module then starts another attempt, which
 // `fail` cancels.
--- a/src/gatekeeper/metrics.hpp
+++ b/src/gatekeeper/metrics.hpp
@@ -37,8 +37,9 @@
   std::uint64_t localResourceShortages = 0;
   std::uint64_t reloadsOk = 0;
   std::uint64_t reloadsFailed = 0;
-  std::uint64_t repeatedIds = 0;        ///< requests whose id had come before and may have run
-  std::uint64_t startedWithoutEnd = 0;  ///< unfinished responses without a length passed on from the deadline
+  std::uint64_t repeatedIds = 0;  ///< requests whose id had come before and may have run
+  /// Unfinished responses that may be long, passed on from the deadline.
+  std::uint64_t startedWithoutEnd = 0;
   std::uint64_t truncatedResponses = 0;  ///< streamed responses that could not be completed
   RetryCounts retries;
   decision::RejectionCounts rejections;
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -133,7 +133,7 @@
   }
   if (!busy_) return owner_.closeConnection(*this);
   if (expired && awaitsRestOfResponse()) {
-    if (response_.bodyBytes() >= kStreamReadBytes) streamUnfinishedResponse();
+    if (isKnownToBeLong()) streamUnfinishedResponse();
     return;
   }
   if (!streaming_ && expectsBodyPieces() && hasWorkerTakenBytes())
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -84,9 +84,9 @@
   decision::AttemptOutcome stopAttempt(decision::AttemptResult result);
   /// Resumes reading a streamed response when its consumer is ready for the next piece.
   void resumeResponse();
-  /// Starts to stream a response that the worker is still writing and that has no stated length. Without a
-  /// length, its attempt would otherwise end although the response is on its way. Returns whether it has
-  /// started: false if there is no such response, or if it is streamed already.
+  /// Starts to stream a response that has begun and may be long: its header states a long body, of which no
+  /// byte need have arrived, or no length. Its attempt would otherwise end although the response is on its
+  /// way. Returns whether it has started: false if there is no such response, or if it is streamed already.
   bool streamUnfinishedResponse();
   /// For a streamed response without a stated length, from the time on when a short one is due: ends it
   /// unless it is a long one, or progresses like one.
@@ -113,9 +113,13 @@
 
  private:
   bool expectsBodyPieces() const { return readBody_ != nullptr; }
-  // Whether a response without a stated length has begun and is not streamed yet.
+  // Whether a response that may be long has begun and is not streamed yet.
   bool awaitsRestOfResponse() const {
-    return busy_ && !streaming_ && requestWritten_ && response_.isUnfinishedWithoutLength();
+    return busy_ && !streaming_ && requestWritten_ && response_.mayBecomeLong();
+  }
+  // Whether the response is long enough, or states so, to be streamed once its attempt times out.
+  bool isKnownToBeLong() const {
+    return response_.statesLongBody() || response_.bodyBytes() >= kStreamReadBytes;
   }
   void recordWait(WaitQueue queue);
   std::size_t memoryBytes(std::size_t nextReadBytes) const;
--- a/src/gatekeeper/upstream_response.cpp
+++ b/src/gatekeeper/upstream_response.cpp
@@ -111,10 +111,13 @@
   return !error && parser_->is_done();
 }
 
+bool UpstreamResponse::statesLongBody() const {
+  return parser_->is_header_done() && parser_->content_length().value_or(0) > kMaxBufferedBodyBytes;
+}
+
 bool UpstreamResponse::exceedsBuffer() const {
-  if (!parser_->is_header_done()) return false;
-  return parser_->content_length().value_or(0) > kMaxBufferedBodyBytes ||
-         parser_->get().body().size() > kMaxBufferedBodyBytes;
+  return statesLongBody() ||
+         (parser_->is_header_done() && parser_->get().body().size() > kMaxBufferedBodyBytes);
 }
 
 bool UpstreamResponse::allowsReuse() const {
--- a/src/gatekeeper/upstream_response.hpp
+++ b/src/gatekeeper/upstream_response.hpp
@@ -47,13 +47,16 @@
   /// Whether any byte of the response has been parsed.
   bool hasStarted() const { return parser_->got_some(); }
   bool isOk() const { return parser_->get().result() == http::status::ok; }
+  /// Whether the header is complete and its Content-Length exceeds `kMaxBufferedBodyBytes` bytes.
+  bool statesLongBody() const;
   /// Whether the header is complete and the body, by its Content-Length or as read so far, exceeds
   /// `kMaxBufferedBodyBytes` bytes.
   bool exceedsBuffer() const;
   /// Whether this is a 200 whose header states no length and whose end has not been received.
-  bool isUnfinishedWithoutLength() const {
-    return parser_->is_header_done() && isOk() && !parser_->content_length() && !parser_->is_done();
-  }
+  bool isUnfinishedWithoutLength() const { return isUnfinished() && !parser_->content_length(); }
+  /// Whether this is a 200 whose end has not been received and whose body may exceed `kMaxBufferedBodyBytes`
+  /// bytes: its header states such a length, or none.
+  bool mayBecomeLong() const { return isUnfinishedWithoutLength() || (isUnfinished() && statesLongBody()); }
   /// Bytes of the body received so far, including those that `takeBody` has moved out.
   std::size_t bodyBytes() const { return takenBodyBytes_ + parser_->get().body().size(); }
   /// Whether the connection may carry another request: no bytes remain unparsed, and the response
@@ -85,6 +88,7 @@
 
  private:
   bool isInterim() const;
+  bool isUnfinished() const { return parser_->is_header_done() && isOk() && !parser_->is_done(); }
   void removeUnusedFields();
   bool isPremature(RequestProgress request) const;
 
