Await an endpoint list for as long as it keeps arriving

Cause: the watch's time limits saw complete lines alone. A list that has begun and is arriving counted as silence, as did a response whose header had come. Change: with every 4 KiB that arrive the time limit starts anew, before the first line and between lines.

--- a/src/endpoint_watch/endpoint_watch.cpp
+++ b/src/endpoint_watch/endpoint_watch.cpp
@@ -69,9 +69,19 @@
   if (state_ == State::awaitingAnswer) watchingSince_ = now;
   state_ = State::watching;
   rejected_ = false;
+  bytesSinceProgress_ = 0;
   nextCheckAt_ = now + limits_.silenceTimeoutMs;
 }
 
+void EndpointWatch::onBytes(Time now, std::size_t bytes) {
+  if (state_ != State::awaitingAnswer && state_ != State::watching) return;
+  bytesSinceProgress_ += bytes;
+  if (bytesSinceProgress_ < kProgressBytes) return;
+  bytesSinceProgress_ = 0;
+  const Time timeoutMs = state_ == State::watching ? limits_.silenceTimeoutMs : retryPolicy().answerTimeoutMs;
+  nextCheckAt_ = std::max(nextCheckAt_, now + timeoutMs);
+}
+
 EndpointWatch::Action EndpointWatch::onConnectionLost(Time now) { return backOff(now); }
 
 EndpointWatch::Action EndpointWatch::onRejected(Time now) {
@@ -84,6 +94,7 @@
   if (state_ == State::stopped || now < nextCheckAt_) return Action::none;
   if (state_ != State::backingOff) return backOff(now);
   state_ = State::connecting;
+  bytesSinceProgress_ = 0;
   connectStartedAt_ = now;
   nextCheckAt_ = now + retryPolicy().answerTimeoutMs;
   ++connectCount_;
--- a/src/endpoint_watch/endpoint_watch.hpp
+++ b/src/endpoint_watch/endpoint_watch.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <random>
 
@@ -17,6 +18,8 @@
 class EndpointWatch {
  public:
   using Time = double;  ///< ms of a monotonic clock with any epoch
+  /// Bytes of a message that count as progress; a drip of single bytes is none.
+  static constexpr std::size_t kProgressBytes = 4096;
 
   /// The action that the caller has to carry out next.
   enum class Action {
@@ -46,7 +49,8 @@
   /// @param gatekeepers number of gatekeepers that may connect to the same discovery service simultaneously
   static Limits limitsFor(Time drainGraceMs, unsigned gatekeepers);
 
-  /// The longest time, in ms, from when a responsive agent has a change until it is received here.
+  /// The longest time, in ms, from when a responsive agent has a change until it is received here, or as much
+  /// of it as arrives within one answer timeout.
   static Time maxUpdateDelayMs(const Limits& limits) {
     return limits.normal.answerTimeoutMs + 1.5 * limits.normal.maxBackoffMs;
   }
@@ -71,6 +75,9 @@
   Action onConnected(Time now);
   /// A complete message has been received: an accepted list, or a heartbeat.
   void onMessage(Time now);
+  /// Bytes of a message have been received. A long message may take longer to arrive than its beginning: with
+  /// every `kProgressBytes` the timeout starts anew.
+  void onBytes(Time now, std::size_t bytes);
   /// The connection could not be established, failed, was closed, or carried a malformed or rejected list.
   [[nodiscard]] Action onConnectionLost(Time now);
   /// Discovery has rejected the request for lack of capacity.
@@ -95,9 +102,10 @@
   State state_ = State::stopped;
   Time nextCheckAt_ = 0;
   Time watchingSince_ = 0;
-  Time connectStartedAt_ = 0;  // start of the last connection attempt
-  Time meanBackoffMs_ = 0;     // mean of the last delay; 0: the next delay is the first
-  bool rejected_ = false;      // a request was rejected, and no message was received since
+  Time connectStartedAt_ = 0;           // start of the last connection attempt
+  std::size_t bytesSinceProgress_ = 0;  // of the message that is arriving
+  Time meanBackoffMs_ = 0;              // mean of the last delay; 0: the next delay is the first
+  bool rejected_ = false;               // a request was rejected, and no message was received since
   std::uint64_t connectCount_ = 0;
 };
 
--- a/src/gatekeeper/discovery_client.cpp
+++ b/src/gatekeeper/discovery_client.cpp
@@ -189,6 +189,7 @@
                               if (error) return connectionLost("ended");
                               input_.commit(size);
                               stats_.bytesRead += size;
+                              watch_.onBytes(OverloadManager::now(), size);
                               onInput();
                             }));
   }
--- a/tests/endpoint_watch_test.cpp
+++ b/tests/endpoint_watch_test.cpp
@@ -101,6 +101,45 @@
   }
 };
 
+// A watch that has sent its request at time 0.
+EndpointWatch watchAwaitingAnswer() {
+  EndpointWatch watch(EndpointWatch::limitsFor(kDrainGrace, 1), 1);
+  EXPECT_EQ(watch.start(0), Action::connect);
+  EXPECT_EQ(watch.onConnected(0), Action::sendRequest);
+  return watch;
+}
+
+// Guards against giving up a list that is arriving, and asking for it again without end.
+TEST(EndpointWatchOfAPrivateAgent, AListThatKeepsArrivingIsAwaited) {
+  EndpointWatch watch = watchAwaitingAnswer();
+  Time now = 0;
+  for (; now < 10000; now += 100) {
+    watch.onBytes(now, EndpointWatch::kProgressBytes / 2);
+    ASSERT_EQ(watch.checkTime(now), Action::none) << now;
+  }
+  watch.onMessage(now);
+  EXPECT_EQ(watch.checkTime(now + kHeartbeatInterval), Action::none);
+  for (; now < 20000; now += 100) {  // a change as long
+    watch.onBytes(now, EndpointWatch::kProgressBytes / 2);
+    ASSERT_EQ(watch.checkTime(now), Action::none) << now;
+  }
+}
+
+// Guards against a limit that single bytes put off, or that a list's first bytes end.
+TEST(EndpointWatchOfAPrivateAgent, AListThatStopsOrDripsIsAskedForAgain) {
+  const Time answerTimeout = EndpointWatch::limitsFor(kDrainGrace, 1).normal.answerTimeoutMs;
+  EndpointWatch dripping = watchAwaitingAnswer();
+  for (Time now = 0; now < answerTimeout; now += 10) {
+    dripping.onBytes(now, 1);
+    ASSERT_EQ(dripping.checkTime(now), Action::none) << now;
+  }
+  EXPECT_EQ(dripping.checkTime(answerTimeout), Action::close);
+  EndpointWatch stopping = watchAwaitingAnswer();
+  stopping.onBytes(answerTimeout / 2, 10 * EndpointWatch::kProgressBytes);
+  EXPECT_EQ(stopping.checkTime(1.5 * answerTimeout - 1), Action::none);
+  EXPECT_EQ(stopping.checkTime(1.5 * answerTimeout), Action::close);
+}
+
 // Guards against requests to a draining worker after its drain grace: under random faults and at every fleet
 // size, the watch receives each version of the list before that version's drain grace ends, and the rate of
 // connects stays limited.
