Log and count what became of attempts whose response had begun

Change: the trace of a request has the state answer_begun (the response's head has come, its end has not); event=attempts has timeout_in_answer; a begun answer that times out and is not passed on has a line with id and states; refused_after.RESULT counts refusals by how the last attempt ended, and a rate-limited line names one of them. The lines of refusals have a limit of their own, so that they do not keep back others.

--- a/src/gatekeeper/gatekeeper.cpp
+++ b/src/gatekeeper/gatekeeper.cpp
@@ -56,11 +56,10 @@
       acceptTimer_(io),
       reportTimer_(io, [this] { report(); }),
       handoverWriter_(io, config.stateDir) {
-  pool_.setStreamHandlers(
-      {[this](RequestId id, const std::string& type, std::optional<std::uint64_t> length) {
-         onResponseStart(id, type, length);
-       },
-       [this](RequestId id, std::string&& piece) { forwardPiece(id, std::move(piece)); }});
+  pool_.setStreamHandlers({[this](RequestId id, const std::string& type,
+                                  std::optional<std::uint64_t> length) { onResponseStart(id, type, length); },
+                           [this](RequestId id, std::string&& piece) { forwardPiece(id, std::move(piece)); },
+                           [this](RequestId id) { onResponseHeader(id); }});
   overloadManager_.start([this] { return std::max(server_.busyFraction(), pool_.busyFraction()); },
                          [this](double excess) { onOverload(excess); });
   if (config_.ops)
--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -152,11 +152,13 @@
   void logRequest(const RequestInFlight& request, const std::string& event);
   void onAttemptDone(AttemptEnd&& end);
   void recordAttemptEnd(const decision::AttemptOutcome& outcome);
+  void recordRejection(const RequestInFlight& request);
   std::optional<decision::EarlierAttempt> earlierAttemptOf(decision::RequestId id, RequestInFlight& request);
   void recordSend(RequestInFlight& request, decision::WorkerId worker);
   void releaseRequest(RequestTable::iterator request);
   void reportNotSent(decision::RequestId id, unsigned attempt, decision::WorkerId worker);
   void cancelAttempt(decision::RequestId id);
+  void onResponseHeader(decision::RequestId id);
   void onResponseStart(decision::RequestId id, const std::string& contentType,
                        std::optional<std::uint64_t> length);
   void endShortResponse(decision::RequestId id);
@@ -180,6 +182,7 @@
   invariant::Monitor monitor_;
   SendRefusals sendRefusals_;
   RateLimitedLog requestLog_{"request"};
+  RateLimitedLog rejectionLog_{"request"};  // of its own, so that rejections do not suppress other lines
   SentRequests sentRequests_;
   std::unordered_map<std::uint64_t, decision::RequestId> recordedIds_;  // of requests in flight, by `Req-Id`
   std::unordered_set<decision::WorkerId> excluded_;                     // by an operator
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -251,7 +251,10 @@
   request.lastAttemptResult = outcome.result;
   if (!decision::provesNotRun(outcome.result)) request.mayHaveRun = true;
   if (!request.mayHaveRun && std::exchange(request.sendRecorded, false)) sentRequests_.remove(request.sentId);
-  monitor_.attemptEnded(found->second.trace, outcome.worker, outcome.result, clock_.now());
+  monitor_.attemptEnded(request.trace, outcome.worker, outcome.result, clock_.now());
+  const bool headerReceived = std::exchange(request.responseHeaderReceived, false);
+  if (headerReceived && !request.responseStarted && outcome.result == AttemptResult::timeout)
+    logRequest(request, "answer begun and not passed on: timed out");
 }
 
 void Gatekeeper::onAttemptDone(AttemptEnd&& end) {
@@ -274,6 +277,13 @@
   gateway_.onAttemptOutcome(clock_.now(), outcome);
 }
 
+void Gatekeeper::onResponseHeader(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  found->second.responseHeaderReceived = true;
+  monitor_.responseBegun(found->second.trace, clock_.now());
+}
+
 void Gatekeeper::onResponseStart(RequestId id, const std::string& contentType,
                                  std::optional<std::uint64_t> length) {
   const auto found = requests_.find(id);
@@ -421,11 +431,23 @@
   rejection.body = "refused: try again later\n";
   rejection.retryAfterMs = retryAfter;
   ++finalResponses_.rejected;
-  if (const auto found = requests_.find(id); found != requests_.end()) ++found->second.classCounts->rejected;
+  if (const auto found = requests_.find(id); found != requests_.end()) {
+    ++found->second.classCounts->rejected;
+    recordRejection(found->second);
+  }
   cancelAttempt(id);
   respond(id, std::move(rejection));
 }
 
+// A rejection before the first attempt has its reason in `Metrics::rejections`; after one, how the last
+// attempt ended tells the reason.
+void Gatekeeper::recordRejection(const RequestInFlight& request) {
+  if (request.attemptCount == 0) return;
+  metrics_.rejectionsAfterAttempt.add(request.lastAttemptResult);
+  rejectionLog_.warn("refused after " + std::to_string(request.attemptCount) +
+                     " attempts: " + request.trace.text(clock_.now()));
+}
+
 void Gatekeeper::fail(RequestId id) {
   ClientResponse failure;
   failure.status = http::status::bad_gateway;
--- a/src/gatekeeper/metrics.hpp
+++ b/src/gatekeeper/metrics.hpp
@@ -19,8 +19,8 @@
   std::uint64_t failure = 0;
 };
 
-/// Retries, by the result of the previous attempt (decision::AttemptResult).
-struct RetryCounts {
+/// Events that follow an attempt, by the attempt's result (decision::AttemptResult).
+struct AttemptResultCounts {
   static constexpr std::array<const char*, 8> kNames{"ok",          "error", "declined",  "timeout",
                                                      "unconnected", "reset", "cancelled", "never_sent"};
   std::array<std::uint64_t, kNames.size()> counts{};
@@ -41,7 +41,8 @@
   /// Unfinished responses that may be long, passed on from the deadline.
   std::uint64_t startedWithoutEnd = 0;
   std::uint64_t truncatedResponses = 0;  ///< streamed responses that could not be completed
-  RetryCounts retries;
+  AttemptResultCounts retries;
+  AttemptResultCounts rejectionsAfterAttempt;  ///< rejected requests of which an attempt had been started
   decision::RejectionCounts rejections;
 };
 
@@ -72,8 +73,12 @@
   line("repeated_ids", metrics.repeatedIds, "c");
   line("answers.begun_at_deadline", metrics.startedWithoutEnd, "c");
   line("answers.cut", metrics.truncatedResponses, "c");
-  for (std::size_t i = 0; i < RetryCounts::kNames.size(); ++i)
-    line(std::string("retry_after.") + RetryCounts::kNames[i], metrics.retries.counts[i], "c");
+  const auto linesByResult = [&](const std::string& kind, const AttemptResultCounts& results) {
+    for (std::size_t i = 0; i < AttemptResultCounts::kNames.size(); ++i)
+      line(kind + "." + AttemptResultCounts::kNames[i], results.counts[i], "c");
+  };
+  linesByResult("retry_after", metrics.retries);
+  linesByResult("refused_after", metrics.rejectionsAfterAttempt);
   line("refused.bucket", metrics.rejections.localQuota, "c");
   line("refused.store", metrics.rejections.fleetQuota, "c");
   line("refused.unknown", metrics.rejections.unknownCustomer, "c");
--- a/src/gatekeeper/request_in_flight.hpp
+++ b/src/gatekeeper/request_in_flight.hpp
@@ -32,6 +32,7 @@
   bool recordsSends = false;              ///< its class does not permit free repeats: see `SentRequests`
   bool sendRecorded = false;              ///< an attempt of this or an earlier request of the id is recorded
   bool mayHaveRun = false;                ///< a worker may have run one of its attempts
+  bool responseHeaderReceived = false;    ///< of the attempt in flight, whose response is unfinished
   bool responseStarted = false;           ///< a response is being streamed to the client
   unsigned attemptCount = 0;              ///< attempts started, including those not sent
   decision::AttemptResult lastAttemptResult = decision::AttemptResult::ok;
--- a/src/gatekeeper/service_report.cpp
+++ b/src/gatekeeper/service_report.cpp
@@ -27,13 +27,15 @@
       sample.requestsInFlight, sample.clientConnections, sample.clients.maxBufferedBytes,
       sample.clients.maxUnreadWaitMs);
   processLog().info(
-      "event=attempts ok={} error={} unreadable={} full={} timeout={} unconnected={} reset={} "
-      "reset_reused={} reset_in_answer={} cancelled={} worker_connections={} most_buffered_worker={}",
+      "event=attempts ok={} error={} unreadable={} full={} timeout={} "
+      "timeout_in_answer={} unconnected={} reset={} reset_reused={} reset_in_answer={} cancelled={} "
+      "worker_connections={} most_buffered_worker={}",
       countOf(AttemptResult::ok), countOf(AttemptResult::error), sample.upstream.malformedResponses,
       countOf(AttemptResult::overloaded), countOf(AttemptResult::timeout),
-      countOf(AttemptResult::connectFailed), countOf(AttemptResult::reset),
-      sample.upstream.resetsOnReusedConnections, sample.upstream.resetsDuringResponse,
-      countOf(AttemptResult::cancelled), sample.workerConnections, sample.upstream.maxBufferedBytes);
+      sample.upstream.timeoutsDuringResponse, countOf(AttemptResult::connectFailed),
+      countOf(AttemptResult::reset), sample.upstream.resetsOnReusedConnections,
+      sample.upstream.resetsDuringResponse, countOf(AttemptResult::cancelled), sample.workerConnections,
+      sample.upstream.maxBufferedBytes);
   processLog().info("event=lists read={} longest_line={} lists={} calls={} invariants_broken={}",
                     sample.discovery.bytesRead, sample.discovery.longestMessageBytes, sample.discovery.lists,
                     sample.discovery.connects, sample.invariantsBroken);
--- a/src/gatekeeper/upstream_attempt.hpp
+++ b/src/gatekeeper/upstream_attempt.hpp
@@ -69,6 +69,9 @@
       onResponseStart;
   /// The next piece of the body. Reading pauses until `UpstreamPool::resumeResponse` is called.
   std::function<void(decision::RequestId, std::string&& piece)> onBodyPiece;
+  /// The header of a response has been received, and its end has not. Called once for each such attempt,
+  /// whether or not its response is streamed later; may be null.
+  std::function<void(decision::RequestId)> onResponseHeader = nullptr;
 };
 
 /// Statistics since the last `UpstreamPool::takeStats`, for the service log.
@@ -77,6 +80,7 @@
   unsigned malformedResponses = 0;         ///< responses that are not valid HTTP or exceed a limit
   unsigned resetsOnReusedConnections = 0;  ///< connections lost during an attempt on a reused connection
   unsigned resetsDuringResponse = 0;       ///< connections lost after a response had started
+  unsigned timeoutsDuringResponse = 0;     ///< attempts that timed out after a response had started
   std::size_t maxBufferedBytes = 0;        ///< most bytes of one response that were read but not yet parsed
 
   /// Counts one ended attempt.
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -161,6 +161,7 @@
   chunkedBody_ = request.chunkedBody;
   expiresAt_ = timeout && !expectsBodyPieces() ? startedAt_ + *timeout : Clock::time_point::max();
   requestWritten_ = false;
+  headerReported_ = false;
   streaming_ = false;
   busy_ = true;
   response_.reset();
@@ -180,6 +181,8 @@
   outcome_.result = mayHaveRun ? result : AttemptResult::connectFailed;
   recordLatency();
   context_.stats.count(outcome_.result);
+  context_.stats.timeoutsDuringResponse +=
+      outcome_.result == AttemptResult::timeout && response_.hasStarted();
   return outcome_;
 }
 
@@ -354,6 +357,7 @@
     ++stats.malformedResponses;
     return endAttempt(AttemptResult::error);
   }
+  if (state == UpstreamResponse::State::incomplete) reportHeader();
   if (!streaming_ && response_.exceedsBuffer()) {
     if (!response_.isOk()) return onResponse(false);  // the body of an error response is not needed
     if (response_.bodyBytes() > 0) startStreaming();
@@ -363,6 +367,11 @@
   forwardBody();
 }
 
+void UpstreamConnection::reportHeader() {
+  if (!response_.hasHeader() || std::exchange(headerReported_, true)) return;
+  if (context_.streams.onResponseHeader) context_.streams.onResponseHeader(outcome_.id);
+}
+
 void UpstreamConnection::forwardBody() {
   std::string piece = response_.takeBody();
   if (piece.empty()) return resumeResponse();
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -141,6 +141,7 @@
   void watchIdle();
   void onReadableWhileIdle();
   void parseResponse();
+  void reportHeader();
   void startStreaming();
   void forwardBody();
   void awaitResponse();
@@ -180,8 +181,9 @@
   bool reused_ = false;          // has carried an earlier attempt
   bool requestWritten_ = false;  // the kernel has accepted its last byte; the worker may execute it
   bool chunkedBody_ = false;
-  bool streaming_ = false;  // the response is forwarded as it arrives
-  bool reading_ = false;    // a read, or an idle connection's wait for input, is pending
+  bool headerReported_ = false;  // `UpstreamStreams::onResponseHeader` was called for the attempt
+  bool streaming_ = false;       // the response is forwarded as it arrives
+  bool reading_ = false;         // a read, or an idle connection's wait for input, is pending
 };
 
 }  // namespace wingslip
--- a/src/gatekeeper/upstream_response.hpp
+++ b/src/gatekeeper/upstream_response.hpp
@@ -44,6 +44,8 @@
   /// thereby completes it.
   [[nodiscard]] bool finishAtClose();
 
+  /// Whether the header of the final response is complete.
+  bool hasHeader() const { return parser_->is_header_done(); }
   /// Whether any byte of the response has been parsed.
   bool hasStarted() const { return parser_->got_some(); }
   bool isOk() const { return parser_->get().result() == http::status::ok; }
--- a/src/invariant/monitor.cpp
+++ b/src/invariant/monitor.cpp
@@ -173,6 +173,8 @@
   if (!provesNotRun(result) && !trace.mayHaveRunSince_) trace.mayHaveRunSince_ = trace.lastSentAt_;
 }
 
+void Monitor::responseBegun(RequestTrace& trace, Time now) { trace.add(now, RequestState::responseBegun); }
+
 void Monitor::responseStreaming(RequestTrace& trace, Time now) {
   trace.add(now, RequestState::streaming);
   checkAnswerTime(trace, now);
--- a/src/invariant/monitor.hpp
+++ b/src/invariant/monitor.hpp
@@ -77,6 +77,8 @@
   void attemptSending(RequestTrace& trace, decision::WorkerId worker, Time now, Time timeoutMs);
   /// Records the end of the attempt that was sent last, or of one that was never sent.
   void attemptEnded(RequestTrace& trace, decision::WorkerId worker, decision::AttemptResult result, Time now);
+  /// Records that the header of an attempt's response has come, and its end has not.
+  void responseBegun(RequestTrace& trace, Time now);
   /// Records that the response's first bytes are being streamed to the client.
   void responseStreaming(RequestTrace& trace, Time now);
   /// Records the final answer of the request.
--- a/src/invariant/request_trace.hpp
+++ b/src/invariant/request_trace.hpp
@@ -27,6 +27,7 @@
   endedReset,
   endedCancelled,
   endedNotSent,
+  responseBegun,  ///< the header of an attempt's response has come, its end has not
   streaming,
   answered,
   rejected,
--- a/tests/delayed_body_test.cpp
+++ b/tests/delayed_body_test.cpp
@@ -133,6 +133,22 @@
   }
 };
 
+// Guards against a refusal whose reason no figure tells: the attempt timed out while its response was
+// arriving.
+TEST_F(UnfinishedResponseOfStatedLength, AShortOneThatStopsIsRefusedAndCounted) {
+  GatekeeperProcess program(folder, stagingConfig(), {});
+  waitUntilReady();
+  TestRequest request;
+  request.deadline = "1000";
+  const auto client = sendRequest(request);
+  const auto workerPeer = workerOf(worker, request.id);
+  workerPeer->send("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\nbegin");
+  waitUntil([&] { return client->has("HTTP/1.1 429"); }, "the refusal");
+  const std::string figures = runOperatorCommand("telemetry");
+  EXPECT_NE(figures.find("svc.refused_after.timeout:1|c"), std::string::npos) << figures;
+  EXPECT_NE(figures.find("svc.answers.cut:0|c"), std::string::npos) << figures;
+}
+
 // Guards against a long response that never begins and holds its request and its connections for ever.
 TEST_F(UnfinishedResponseOfStatedLength, OneThatNeverBeginsIsEnded) { expectEnd(0ms); }
 
--- a/tests/invariant_test.cpp
+++ b/tests/invariant_test.cpp
@@ -201,6 +201,16 @@
   EXPECT_EQ(std::count(text.begin(), text.end(), '@'), static_cast<long>(RequestTrace::kMaxSteps));
 }
 
+// Guards against a log that does not tell whether the response of a timed out attempt had begun.
+TEST_F(InvariantMonitor, ATraceTellsThatAResponseHadBegun) {
+  monitor.attemptSending(trace, kWorker, 10, 1000);
+  monitor.responseBegun(trace, 30);
+  monitor.attemptEnded(trace, kWorker, AttemptResult::timeout, 400);
+  EXPECT_NE(trace.text(400).find("answer_begun@-370.0,ended_timeout@0.0"), std::string::npos)
+      << trace.text(400);
+  EXPECT_EQ(monitor.total(), 0u);
+}
+
 // Of a long response the first bytes are due at the deadline, of a short one the last.
 TEST(LongResponses, TheStartOfALongStreamedResponseAndTheEndOfAShortOneAreDue) {
   Monitor monitor([](const std::string&) {}, [] { return 0.0; });
