One place for the steps of a test until it serves, and for the timer of a short response

No change of behaviour: the steps stood in drain, upload and unfinished response tests and are in their fixture OverloadFixture now; the timer that judges a response without a length was armed in two places. drain_test's own waitUntilServing is the fixture's, so no test changes.

--- a/src/gatekeeper/gatekeeper.hpp
+++ b/src/gatekeeper/gatekeeper.hpp
@@ -163,6 +163,7 @@
                        std::optional<std::uint64_t> length);
   void endShortResponse(decision::RequestId id);
   void startShortResponseTimer(decision::RequestId id, RequestInFlight& request);
+  void endShortResponseAfter(decision::Time waitMs, decision::RequestId id, RequestInFlight& request);
   void forwardPiece(decision::RequestId id, std::string&& piece);
   void finishStreamedResponse(AttemptEnd& end);
   void respond(decision::RequestId id, ClientResponse&& response);
--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -300,7 +300,11 @@
 // until it is longer than any short one.
 void Gatekeeper::startShortResponseTimer(RequestId id, RequestInFlight& request) {
   const Time endsAt = request.responseDueAt + kResponseReserveMs + kShortResponseGraceMs;
-  request.deadlineTimer.expires_after(toDuration(endsAt - clock_.now()));
+  endShortResponseAfter(endsAt - clock_.now(), id, request);
+}
+
+void Gatekeeper::endShortResponseAfter(Time waitMs, RequestId id, RequestInFlight& request) {
+  request.deadlineTimer.expires_after(toDuration(waitMs));
   request.deadlineTimer.async_wait([this, id](const Error& error) {
     if (!error) endShortResponse(id);
   });
@@ -309,11 +313,7 @@
 void Gatekeeper::endShortResponse(RequestId id) {
   if (!pool_.endShortResponse(id)) return;
   const auto found = requests_.find(id);
-  if (found == requests_.end()) return;
-  found->second.deadlineTimer.expires_after(toDuration(kShortResponseRecheckMs));
-  found->second.deadlineTimer.async_wait([this, id](const Error& error) {
-    if (!error) endShortResponse(id);
-  });
+  if (found != requests_.end()) endShortResponseAfter(kShortResponseRecheckMs, id, found->second);
 }
 
 void Gatekeeper::forwardPiece(RequestId id, std::string&& piece) {
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -46,14 +46,6 @@
     startGatekeeper(config);
     waitUntilServing();
   }
-  void waitUntilServing() {
-    waitUntil([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
-    discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    std::string chunk;
-    appendChunk(chunk, endpointListJson(1, false, json::array()) + "\n", false);
-    discovery.peers[0]->send(chunk);
-    waitUntil([&] { return gatekeeper->ready(); }, "readiness");
-  }
   std::string nextId() {
     char id[17];
     std::snprintf(id, sizeof id, "%016x", nextId_++);
--- a/tests/overload_fixture.hpp
+++ b/tests/overload_fixture.hpp
@@ -29,6 +29,15 @@
     gatekeeper->start();
   }
   void startGatekeeper() { startGatekeeper(configuration()); }
+  /// Answers the gatekeeper's watch with an empty change of its list, after which it serves.
+  void waitUntilServing() {
+    waitUntil([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
+    discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::string chunk;
+    appendChunk(chunk, endpointListJson(1, false, json::array()) + "\n", false);
+    discovery.peers[0]->send(chunk);
+    waitUntil([&] { return gatekeeper->ready(); }, "readiness");
+  }
   PeerPtr sendRequest(const std::string& text) {
     const auto client = connectTo(gatekeeper->address());
     client->send(text);
--- a/tests/unfinished_response_test.cpp
+++ b/tests/unfinished_response_test.cpp
@@ -43,12 +43,7 @@
       requestClass["deadline"] = 3000.0;
     }
     startGatekeeper(config);
-    waitUntil([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
-    discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    std::string chunk;
-    appendChunk(chunk, endpointListJson(1, false, json::array()) + "\n", false);
-    discovery.peers[0]->send(chunk);
-    waitUntil([&] { return gatekeeper->ready(); }, "readiness");
+    waitUntilServing();
   }
   static std::string piece(std::size_t bytes) {
     const std::string text(bytes, 'x');
--- a/tests/upload_deadline_test.cpp
+++ b/tests/upload_deadline_test.cpp
@@ -24,12 +24,7 @@
     config["ops"] = "127.0.0.1:0";
     config["limits"]["memory_mb"] = 64;
     startGatekeeper(config);
-    waitUntil([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
-    discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    std::string chunk;
-    appendChunk(chunk, endpointListJson(1, false, json::array()) + "\n", false);
-    discovery.peers[0]->send(chunk);
-    waitUntil([&] { return gatekeeper->ready(); }, "readiness");
+    waitUntilServing();
   }
   void open() { openWith(json::array({endpointEntryJson("s-1", worker.addressText())})); }
 
