End no streamed response for lack of progress before its request's deadline

Cause: the limit of silence knows nothing of the deadline, which ends with the start of the response. Change: a streamed response is awaited until the later of the limit of silence and the request's deadline.

--- a/src/gatekeeper/gatekeeper_requests.cpp
+++ b/src/gatekeeper/gatekeeper_requests.cpp
@@ -493,6 +493,10 @@
   AttemptRequest out;
   out.serialize = [this, id, worker] { return authorizeSend(id, worker); };
   out.mayComplete = [this, id] { return gateway_.maySend(clock_.now(), id); };
+  out.remainingTime = [this, id] {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? SteadyTime::duration::zero() : toDuration(remainingMs(found->second));
+  };
   out.maxSerializedBytes = maxAttemptBytes(request.message);
   if (!request.body.streamed) return out;
   out.chunkedBody = !request.body.contentLength;
--- a/src/gatekeeper/upstream_attempt.hpp
+++ b/src/gatekeeper/upstream_attempt.hpp
@@ -37,6 +37,9 @@
   /// Whether a request that is partly written may still be completed. Called before each further write, since
   /// the worker may have taken nothing for a while; if it returns false, the attempt ends as connectFailed.
   std::function<bool()> mayComplete;
+  /// Time until the request's deadline, zero or below past it: a streamed response is not ended for lack of
+  /// progress before. May be null.
+  std::function<std::chrono::steady_clock::duration()> remainingTime = nullptr;
   /// Upper bound in bytes of the size that `serialize` returns, for the memory budget.
   std::size_t maxSerializedBytes = 0;
   /// Reads the next piece of a streamed body. Null if `serialize` returns the complete request.
@@ -50,7 +53,8 @@
   std::chrono::milliseconds idleTimeout{24000};  ///< shorter than the workers' own idle timeout
   std::size_t maxConnections = 480;              ///< to all workers in total
   std::size_t maxIdlePerWorker = 64;
-  /// Longest time without progress by the worker while a request body or a response is streamed.
+  /// Longest time without progress by the worker while a request body or a response is streamed. A response
+  /// is awaited until its request's deadline if that is longer.
   std::chrono::milliseconds streamStallTimeout{10000};
 };
 
--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -101,6 +101,7 @@
   markEnded();
   readBody_ = nullptr;
   mayComplete_ = nullptr;
+  remainingTime_ = nullptr;
   serialize_ = nullptr;
   waitRecord_.leave();
   pausedRead_.clear();
@@ -157,6 +158,7 @@
   timeout_ = timeout;
   serialize_ = std::move(request.serialize);
   mayComplete_ = std::move(request.mayComplete);
+  remainingTime_ = std::move(request.remainingTime);
   readBody_ = std::move(request.readBody);
   chunkedBody_ = request.chunkedBody;
   expiresAt_ = timeout && !expectsBodyPieces() ? startedAt_ + *timeout : Clock::time_point::max();
@@ -312,10 +314,14 @@
   context_.overload.pauseUntilMemory(pausedRead_, Account::workers, weak_from_this(), retry, nullptr);
 }
 
-// Arms the timer for the time when the worker will have made no progress for too long.
+// Arms the timer for the time when the worker will have made no progress for too long, and for the request's
+// deadline if that is later.
 void UpstreamConnection::awaitResponse() {
-  stallTime_.startWait(Clock::now());
-  armTimer(stallTime_.expiresAt(context_.limits.streamStallTimeout));
+  const auto now = Clock::now();
+  stallTime_.startWait(now);
+  const auto stalledAt = stallTime_.expiresAt(context_.limits.streamStallTimeout);
+  const auto remaining = remainingTime_ ? remainingTime_() : Clock::duration::zero();
+  armTimer(std::max(stalledAt, now + remaining));
 }
 
 void UpstreamConnection::onRead(const Error& error, std::size_t bytes) {
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -167,6 +167,7 @@
   std::size_t unacknowledgedBytes_ = 0;                    // when the timer of the write was started
   std::function<std::optional<std::string>()> serialize_;  // null once it has been called
   std::function<bool()> mayComplete_;
+  std::function<Clock::duration()> remainingTime_;
   std::function<void(AttemptRequest::BodyPieceHandler)> readBody_;  // null once the last piece has arrived
   std::optional<Clock::duration> timeout_;
   decision::AttemptOutcome outcome_;
--- a/tests/delayed_body_test.cpp
+++ b/tests/delayed_body_test.cpp
@@ -91,6 +91,10 @@
 TEST_F(DelayedBodyOfStatedLength, PastTheTimeoutJustOver64KiB) {
   expectWhole({"look", "1686", 900ms, 0ms, 65537, 1});
 }
+// The limit of silence of a streamed response, 10 s, counts from the time-out and ends before the deadline.
+TEST_F(DelayedBodyOfStatedLength, PastTheLimitOfSilenceBeforeTheDeadline) {
+  expectWhole({"look", "14000", 11500ms, 50ms, 30000, 5});
+}
 TEST_F(DelayedBodyOfStatedLength, PastTheDeadline) { expectWhole({"look", "600", 900ms, 50ms, 30000, 5}); }
 TEST_F(DelayedBodyOfStatedLength, LongPastTheDeadline) {
   expectWhole({"look", "600", 2500ms, 50ms, 30000, 5});
--- a/tests/unfinished_response_test.cpp
+++ b/tests/unfinished_response_test.cpp
@@ -188,6 +188,26 @@
   EXPECT_EQ(receivedBytes + attemptEnds[0].body.size(), 400000u);
 }
 
+// Guards against a limit of silence that ends a response before its request's deadline, which may be longer.
+TEST_F(StreamedResponseProgress, OneThatPausesIsNotEndedBeforeTheDeadline) {
+  pool->setStreamHandlers({[](decision::RequestId, const std::string&, std::optional<std::uint64_t>) {},
+                           [this](decision::RequestId id, std::string&&) {
+                             asio::post(io, [this, id] { pool->resumeResponse(id); });
+                           }});
+  AttemptRequest request = bufferedRequest("GET / HTTP/1.1\r\nReq-Id: 2\r\n\r\n");
+  const auto deadline = Clock::now() + 4 * kStallTimeout;
+  request.remainingTime = [deadline] { return deadline - Clock::now(); };
+  pool->startAttempt(2, 0, 1, std::move(request), std::nullopt);
+  waitForRequests(2);
+  const PeerPtr connection = worker.peers.back();
+  connection->send("HTTP/1.1 200 OK\r\nContent-Length: 80000\r\n\r\nx");
+  io.restart();
+  io.run_for(3 * kStallTimeout);
+  EXPECT_FALSE(connection->closedByPeer);
+  waitUntil([&] { return connection->closedByPeer; }, "the end of the attempt");
+  EXPECT_LT(Clock::now() - deadline, kStallTimeout);
+}
+
 // Guards against the time that the client takes being counted as the worker's.
 TEST_F(StreamedResponseProgress, TheTimeThatTheClientTakesIsNotTheWorkers) {
   pool->setStreamHandlers(
