Failing test: late news of a restart ends a response that is arriving

A connection is taken for older than the worker's process, and its response is ended though bytes keep arriving.

--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -215,6 +215,31 @@
   EXPECT_EQ(pool->connections(), 1u);
 }
 
+// Guards against late news of a restart that cuts off a response of the restarted worker itself. The start
+// may be told as later than it was, so that the connection counts as older.
+TEST_F(UpstreamPoolTest, LateNewsOfARestartDoesNotEndAResponseThatIsArriving) {
+  createPool({});
+  pool->setStreamHandlers({[](decision::RequestId, const std::string&, std::optional<std::uint64_t>) {},
+                           [this](decision::RequestId id, std::string&&) {
+                             asio::post(io, [this, id] { pool->resumeResponse(id); });
+                           }});
+  startAttempt(1);
+  startAttempt(2);  // on a second connection, without a byte of its response
+  waitForRequests(2);
+  const auto told = std::chrono::steady_clock::now();
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 80000\r\n\r\n" + std::string(40000, 'x'));
+  io.restart();
+  io.run_for(100ms);
+  pool->setWorkerAddress(1, {worker.address(), told});
+  waitForEnds(1);
+  EXPECT_NE(attemptEnds[0].outcome.id, 1u);
+  EXPECT_EQ(attemptEnds[0].outcome.result, AttemptResult::reset);
+  worker.peers[0]->send(std::string(40000, 'x'));
+  waitForEnds(2);
+  EXPECT_EQ(attemptEnds[1].outcome.id, 1u);
+  EXPECT_EQ(attemptEnds[1].outcome.result, AttemptResult::ok);
+}
+
 TEST_F(UpstreamPoolTest, OpensNoMoreConnectionsThanTheLimit) {
   UpstreamPool::Limits limits;
   limits.maxConnections = 1;
