End no attempt at a restarted worker whose connection was active since the start

Cause: a start that is told late is taken for 10 s old at most, and all attempts on connections opened before that time are ended as if at the process before; that bytes keep arriving was not asked. Change: an attempt is ended only if nothing came on its connection since the told start, neither a byte nor its acceptance. A process that has gone sends nothing, so that its attempts end as before.

--- a/src/gatekeeper/upstream_connection.cpp
+++ b/src/gatekeeper/upstream_connection.cpp
@@ -203,6 +203,7 @@
   socket_.set_option(tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   connected_ = true;
+  lastActiveAt_ = Clock::now();
   recordWait(WaitQueue::awaitingResponse);
   read();
   serializeAndWrite();
@@ -326,7 +327,9 @@
 
 void UpstreamConnection::onRead(const Error& error, std::size_t bytes) {
   response_.commit(bytes);
-  stallTime_.add(Clock::now(), bytes);
+  const auto now = Clock::now();
+  if (bytes > 0) lastActiveAt_ = now;
+  stallTime_.add(now, bytes);
   if (!busy_) return owner_.closeConnection(*this);
   if (isTransient(error)) return read();
   error ? onConnectionLost(error) : parseResponse();
--- a/src/gatekeeper/upstream_connection.hpp
+++ b/src/gatekeeper/upstream_connection.hpp
@@ -69,6 +69,8 @@
   decision::WorkerId worker() const { return worker_; }
   const boost::asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
   Clock::time_point openedAt() const { return openedAt_; }
+  /// When the worker's process last showed on this connection that it runs: by a byte, or by accepting it.
+  Clock::time_point lastActiveAt() const { return lastActiveAt_; }
 
   /// Reserves memory for the connection and the attempt. Returns false if the memory budget does not allow
   /// it.
@@ -155,6 +157,7 @@
   const decision::WorkerId worker_;
   const boost::asio::ip::tcp::endpoint endpoint_;
   const Clock::time_point openedAt_ = Clock::now();
+  Clock::time_point lastActiveAt_ = openedAt_;
   MemoryBudget::Charge memory_;
   WaitQueues::QueueEntry waitRecord_;
   OverloadManager::PausedRead pausedRead_;
--- a/src/gatekeeper/upstream_pool.cpp
+++ b/src/gatekeeper/upstream_pool.cpp
@@ -42,9 +42,10 @@
   worker.address = address;
   worker.retired = false;
   if (!restarted) return;
-  // The process that received these attempts has ended, even if the kernel has not yet reported the close.
+  // The process that received these attempts has ended, even if the kernel has not yet reported the close. A
+  // connection that was active since leads to the new process, which may have started earlier than is told.
   endAttempts(worker, [&](const UpstreamConnection& connection) {
-    return connection.openedAt() < address.processStartedAt;
+    return connection.lastActiveAt() < address.processStartedAt;
   });
 }
 
