--- a/tests/delayed_body_test.cpp
+++ b/tests/delayed_body_test.cpp
@@ -33,7 +33,7 @@
     const auto until = Clock::now() + span;
     do {
       runFor(std::min(5ms, std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now())));
-      if (!firstByteAt && !client->received.empty()) firstByteAt = Clock::now();
+      if (!firstByteAt_ && !client->received.empty()) firstByteAt_ = Clock::now();
     } while (Clock::now() < until);
   }
   void sendHead(const std::string& head, std::chrono::milliseconds interval, const PeerPtr& workerPeer,
@@ -46,7 +46,7 @@
       passTime(interval, client);
     }
   }
-  std::optional<Clock::time_point> firstByteAt;
+  std::optional<Clock::time_point> firstByteAt_;
 };
 
 void DelayedBodyOfStatedLength::expectWhole(const DelayedBody& form) {
@@ -74,8 +74,8 @@
       "the end of the response");
   EXPECT_EQ(client->received.rfind("HTTP/1.1 200", 0), 0u) << client->received.substr(0, 200);
   EXPECT_TRUE(isWhole()) << client->count("#") << " of " << length << " bytes";
-  ASSERT_TRUE(firstByteAt);
-  EXPECT_LT(*firstByteAt - sentAt, std::chrono::milliseconds(std::stoi(form.deadlineMs)) + kLimitTolerance);
+  ASSERT_TRUE(firstByteAt_);
+  EXPECT_LT(*firstByteAt_ - sentAt, std::chrono::milliseconds(std::stoi(form.deadlineMs)) + kLimitTolerance);
   EXPECT_NE(runOperatorCommand("telemetry").find("svc.invariant.request_unanswered:0|c"), std::string::npos);
 }
 
